commander: the whole path, thin: dev mode serves keyed reads, writes and a pool

Change: instances, platform stand-in and backend server stand-ins on loopback. A pure controller (prober, granter, assigner) drives ownership; requests go from the entry instance over QUIC to the coordinator and over HTTP to the backend server. The starting design counted a lease from the server's receipt of the grant; a delayed grant would then outlive the granter's own view of it. A lease now runs from a ticket, a reading of the server's own clock that the order carries back. Ruled out: synchronised clocks between instances and backend servers for grants.

--- /dev/null
+++ b/assigner/plan.go
@@ -0,0 +1,213 @@
+package assigner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/granter"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/partitioner"
+)
+
+// candidates judges the service's backend servers, sorted by name. A server that
+// the assignment names and the list lacks has ended.
+func (a *Assigner) candidates(now time.Time) []Candidate {
+	var all []Candidate
+	seen := map[identifier.BackendServer]bool{}
+	for id, s := range a.servers {
+		seen[id] = true
+		all = append(all, a.judge(now, s))
+	}
+	if a.assignment != nil {
+		for _, s := range a.assignment.Servers() {
+			if !seen[s.ID] {
+				all = append(all, Candidate{Server: s, Evacuate: len(a.servers) > 0})
+			}
+		}
+	}
+	slices.SortFunc(all, func(x, y Candidate) int {
+		if x.ID < y.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// judge says what a backend server may keep and be given. A server that nobody
+// reports on is left as it is: its zone may be cut off and go on serving.
+func (a *Assigner) judge(now time.Time, s *serverState) Candidate {
+	c := Candidate{Server: s.info.Server}
+	zone := a.settings.Zones[s.info.Zone]
+	fresh := a.reported(now, s)
+	down := fresh && s.report.Silent >= a.cfg.DownAfter
+	draining := fresh && s.report.State == granter.ServerDraining
+	out := zone == configurer.ZoneOut || zone == configurer.ZoneLost
+	c.Evacuate = !s.listed || s.info.Leaving || out || a.settings.Drained[s.info.ID] || down || draining
+	c.Receive = !c.Evacuate && fresh
+	c.Cold = s.report.State == granter.ServerCold
+	return c
+}
+
+// plan marks the partitions that should move.
+func (a *Assigner) plan(now time.Time, next *partitioner.Assignment) bool {
+	limit := 0
+	if now.Sub(a.balancedAt) >= balanceEvery && len(a.marks) == 0 {
+		limit = max(1, a.settings.BalanceMovesPerMinute*int(balanceEvery/time.Second)/60)
+	}
+	servers := a.candidates(now)
+	plan := Decide(next, a.weights.all(next.Len()), servers, limit)
+	changed := false
+	room := max(8, next.Len()/plannedBatch) - len(next.Moving())
+	for _, m := range plan.Evacuations {
+		if a.apply(now, next, m, &room) {
+			changed = true
+		}
+	}
+	for _, m := range plan.Balances {
+		if a.apply(now, next, m, &room) {
+			a.balancedAt = now
+			changed = true
+		}
+	}
+	return a.pin(next) || changed
+}
+
+// apply places or marks one partition. A move from a server that still serves is
+// put off while a granter that would have to promise does not answer: the partition
+// would be out of service until it does.
+func (a *Assigner) apply(now time.Time, next *partitioner.Assignment, m Move, room *int) bool {
+	owner, _, owned := next.Owner(m.Partition)
+	if !owned {
+		return next.Place(m.Partition, m.To) == nil
+	}
+	s, known := a.servers[owner]
+	lost := known && a.reported(now, s) && s.report.Silent >= a.cfg.DownAfter
+	serves := known && s.listed && !lost
+	if serves && (*room <= 0 || !a.grantersAnswer(a.zoneOf(owner))) {
+		return false
+	}
+	if serves {
+		*room--
+	}
+	return next.Mark(m.Partition, m.To) == nil
+}
+
+// grantersAnswer reports whether each process on a zone's roster answers probes or
+// is excused. A zone that operators have declared lost need not answer.
+func (a *Assigner) grantersAnswer(z identifier.Zone) bool {
+	if a.settings.Zones[z] == configurer.ZoneLost {
+		return true
+	}
+	for _, m := range a.rosters[z].roster.Members {
+		_, answers := a.live[m.Instance]
+		if !m.Fenced && m.Instance != a.cfg.Self && !answers {
+			return false
+		}
+	}
+	return true
+}
+
+// pin gives the keys that the settings name a partition of their own.
+func (a *Assigner) pin(next *partitioner.Assignment) bool {
+	changed := false
+	for _, k := range a.settings.PinnedKeys {
+		if _, err := next.Pin(k); err == nil {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// tendRosters raises the floors that marks need, fences granters that a move cannot
+// wait for, and takes off those whose instance has ended.
+func (a *Assigner) tendRosters(now time.Time) []Action {
+	var actions []Action
+	for _, z := range a.rosterZones() {
+		if now.Sub(a.rosterAt[z]) < writeTimeout {
+			continue
+		}
+		view := a.rosters[z]
+		roster := view.roster.Clone()
+		changed := a.raiseFloor(z, &roster)
+		changed = a.fence(now, z, &roster) || changed
+		changed = a.removeEnded(now, z, &roster) || changed
+		if changed {
+			a.rosterAt[z] = now
+			actions = append(actions, PutRoster{z, view.version, roster})
+		}
+	}
+	return actions
+}
+
+// rosterZones returns the zones of the servers that own partitions, sorted.
+func (a *Assigner) rosterZones() []identifier.Zone {
+	if a.assignment == nil {
+		return nil
+	}
+	var zones []identifier.Zone
+	for _, s := range a.assignment.Servers() {
+		zones = append(zones, s.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+func (a *Assigner) raiseFloor(z identifier.Zone, r *granter.Roster) bool {
+	var highest identifier.Version
+	for p, m := range a.marks {
+		if owner, _, _ := a.assignment.Owner(p); a.zoneOf(owner) == z {
+			highest = max(highest, m.version)
+		}
+	}
+	if r.Floors[a.cfg.Service] >= highest {
+		return false
+	}
+	r.RaiseFloor(a.cfg.Service, highest)
+	return true
+}
+
+// fence forbids granting to the processes of a lost zone, and, if the service's
+// IsolationHold is finite, to those that leave a mark waiting.
+func (a *Assigner) fence(now time.Time, z identifier.Zone, r *granter.Roster) bool {
+	lost := a.settings.Zones[z] == configurer.ZoneLost
+	waiting := a.settings.IsolationHold > 0 && a.waits(now, z)
+	changed := false
+	for _, m := range r.Members {
+		_, answers := a.live[m.Instance]
+		silent := !answers && m.Instance != a.cfg.Self
+		if !m.Fenced && (lost || waiting && silent) {
+			r.Fence(m.Instance, m.Incarnation)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// waits reports whether a mark of a zone has waited for longer than fenceAfter.
+func (a *Assigner) waits(now time.Time, z identifier.Zone) bool {
+	for p, m := range a.marks {
+		owner, _, _ := a.assignment.Owner(p)
+		if now.Sub(m.seenAt) >= fenceAfter && a.zoneOf(owner) == z {
+			return true
+		}
+	}
+	return false
+}
+
+// removeEnded takes off the processes of instances that have been off the
+// platform's list for longer than it lags and their last grants last, and fenced
+// processes of which nothing is in force.
+func (a *Assigner) removeEnded(now time.Time, z identifier.Zone, r *granter.Roster) bool {
+	changed := false
+	for _, m := range slices.Clone(r.Members) {
+		since, absent := a.absent[m.Instance]
+		ended := absent && a.listAt.Sub(since) >= a.cfg.ListLag+a.cfg.Grace
+		if ended || a.excused(now, z, m) {
+			r.Remove(m.Instance, m.Incarnation)
+			changed = true
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/configurer/tree.go
@@ -0,0 +1,321 @@
+// Package configurer holds the tree of settings: organisation, service and
+// availability zone, each of which inherits from the level above and overrides only
+// what it names. A tree is checked as a whole before it is written and after it is
+// read.
+package configurer
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+// Tree is the aggregate of all settings of one organisation: one object on the
+// platform, so that a change takes effect as a whole or not at all.
+type Tree struct {
+	Organisation identifier.Organisation
+	Values       Values
+	Services     map[identifier.Service]*Service `json:",omitempty"`
+}
+
+// Service is the level of one service.
+type Service struct {
+	Values  Values
+	Zones   map[identifier.Zone]*Zone            `json:",omitempty"`
+	Servers map[identifier.BackendServer]*Server `json:",omitempty"`
+	// Pins are the hot keys that have a partition of their own.
+	Pins []identifier.Key `json:",omitempty"`
+}
+
+// Zone is the level of one availability zone within a service.
+type Zone struct {
+	Values Values
+}
+
+// Server holds what operators say of one backend server.
+type Server struct {
+	// Drained servers are given no new work and their partitions move away.
+	Drained bool `json:",omitempty"`
+}
+
+// NewTree returns the tree of an organisation that names nothing.
+func NewTree(o identifier.Organisation) *Tree {
+	return &Tree{Organisation: o, Services: map[identifier.Service]*Service{}}
+}
+
+// Decode reads the stored form of a tree and checks it.
+func Decode(data []byte) (*Tree, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	t := &Tree{}
+	if err := decoder.Decode(t); err != nil {
+		return nil, fmt.Errorf("decode settings: %w", err)
+	}
+	if t.Services == nil {
+		t.Services = map[identifier.Service]*Service{}
+	}
+	if err := t.Check(); err != nil {
+		return nil, fmt.Errorf("decode settings: %w", err)
+	}
+	return t, nil
+}
+
+// Encode returns the stored form of a tree, in JSON with Pascal-case names.
+func (t *Tree) Encode() ([]byte, error) {
+	data, err := json.MarshalIndent(t, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode settings: %w", err)
+	}
+	return data, nil
+}
+
+// Check checks the tree as a whole.
+func (t *Tree) Check() error {
+	if err := identifier.CheckName("Organisation", string(t.Organisation)); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := t.Values.check(string(t.Organisation)); err != nil {
+		return err
+	}
+	for name, s := range t.Services {
+		if err := t.checkService(name, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Tree) checkService(name identifier.Service, s *Service) error {
+	path := string(t.Organisation) + "/" + string(name)
+	if err := identifier.CheckName("Service", string(name)); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if s == nil {
+		return &FieldError{Path: path, Field: "Service", Value: "null", Rule: "a service needs an object"}
+	}
+	if err := s.Values.check(path); err != nil {
+		return err
+	}
+	for z, node := range s.Zones {
+		if err := identifier.CheckName("Zone", string(z)); err != nil || node == nil {
+			return &FieldError{Path: path, Field: "Zone", Value: string(z), Rule: "a name with an object is needed"}
+		}
+		if err := node.Values.check(path + "/" + string(z)); err != nil {
+			return err
+		}
+	}
+	for b, node := range s.Servers {
+		if err := identifier.CheckName("BackendServer", string(b)); err != nil || node == nil {
+			return &FieldError{Path: path, Field: "BackendServer", Value: string(b), Rule: "a name with an object is needed"}
+		}
+	}
+	if err := checkPins(path, s.Pins); err != nil {
+		return err
+	}
+	return t.checkEffective(path, name, s)
+}
+
+// checkEffective checks rules between settings, at each zone that overrides any.
+func (t *Tree) checkEffective(path string, name identifier.Service, s *Service) error {
+	zones := []identifier.Zone{""}
+	for z := range s.Zones {
+		zones = append(zones, z)
+	}
+	for _, z := range zones {
+		e := t.effective(name, z)
+		if *e.ColdSlots > *e.Slots {
+			return &FieldError{path, "ColdSlots", fmt.Sprint(*e.ColdSlots), fmt.Sprintf("at most Slots, %d", *e.Slots)}
+		}
+		if *e.TimeoutMs > *e.MaxTimeoutMs {
+			return &FieldError{path, "TimeoutMs", fmt.Sprint(*e.TimeoutMs), fmt.Sprintf("at most MaxTimeoutMs, %d", *e.MaxTimeoutMs)}
+		}
+		if h := *e.IsolationHoldMs; h > 0 && h < leastHoldMs {
+			return &FieldError{path, "IsolationHoldMs", fmt.Sprint(h), fmt.Sprintf("0, or at least %d", leastHoldMs)}
+		}
+	}
+	return nil
+}
+
+// leastHoldMs bounds a finite IsolationHold from below, in ms: an instance in good
+// health hears from the platform at least that often.
+const leastHoldMs = 20000
+
+func (t *Tree) effective(name identifier.Service, z identifier.Zone) Values {
+	v := defaults()
+	v.overlay(&t.Values)
+	s, ok := t.Services[name]
+	if !ok {
+		return v
+	}
+	v.overlay(&s.Values)
+	if node, ok := s.Zones[z]; ok {
+		v.overlay(&node.Values)
+	}
+	return v
+}
+
+// Effective holds the settings in force for a service in a zone.
+type Effective struct {
+	Keyed                 bool
+	Partitions            int
+	ChecksGrants          bool
+	IsolationHold         time.Duration
+	BalanceMovesPerMinute int
+	Slots                 int
+	ColdSlots             int
+	QueueLength           int
+	Connections           int
+	Timeout               time.Duration
+	MaxTimeout            time.Duration
+	MaxBodyBytes          int
+	RetryPercent          int
+	HedgePercent          int
+	OutcomeRecord         string
+}
+
+// Effective returns the settings in force for a service in a zone; the zone may be
+// empty for those of the service.
+func (t *Tree) Effective(name identifier.Service, z identifier.Zone) Effective {
+	v := t.effective(name, z)
+	return Effective{
+		Keyed: *v.Keyed, Partitions: *v.Partitions, ChecksGrants: *v.ChecksGrants,
+		IsolationHold:         milliseconds(*v.IsolationHoldMs),
+		BalanceMovesPerMinute: *v.BalanceMovesPerMinute,
+		Slots:                 *v.Slots, ColdSlots: *v.ColdSlots, QueueLength: *v.QueueLength,
+		Connections: *v.Connections, Timeout: milliseconds(*v.TimeoutMs), MaxTimeout: milliseconds(*v.MaxTimeoutMs),
+		MaxBodyBytes: *v.MaxBodyBytes, RetryPercent: *v.RetryPercent, HedgePercent: *v.HedgePercent,
+		OutcomeRecord: *v.OutcomeRecord,
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Explanation is one setting with the level that it comes from.
+type Explanation struct {
+	Field  string
+	Value  string
+	Source string // "default", or the path of the level.
+}
+
+// Explain returns every setting in force for a service in a zone, with its source.
+func (t *Tree) Explain(name identifier.Service, z identifier.Zone) []Explanation {
+	v := t.effective(name, z)
+	rows := make([]Explanation, 0, len(Fields))
+	for _, f := range Fields {
+		value, _ := f.get(&v)
+		rows = append(rows, Explanation{f.Name, value, t.source(f, name, z)})
+	}
+	return rows
+}
+
+func (t *Tree) source(f Field, name identifier.Service, z identifier.Zone) string {
+	path := string(t.Organisation)
+	source := "default"
+	if t.Values.names(f) {
+		source = path
+	}
+	s, ok := t.Services[name]
+	if !ok {
+		return source
+	}
+	path += "/" + string(name)
+	if s.Values.names(f) {
+		source = path
+	}
+	if node, ok := s.Zones[z]; ok && node.Values.names(f) {
+		source = path + "/" + string(z)
+	}
+	return source
+}
+
+// Path names a level of the tree; Service and Zone may be empty.
+type Path struct {
+	Organisation identifier.Organisation
+	Service      identifier.Service
+	Zone         identifier.Zone
+}
+
+// level returns the values of a level, which it makes if need be.
+func (t *Tree) level(p Path) *Values {
+	if p.Service == "" {
+		return &t.Values
+	}
+	s := t.service(p.Service)
+	if p.Zone == "" {
+		return &s.Values
+	}
+	if s.Zones == nil {
+		s.Zones = map[identifier.Zone]*Zone{}
+	}
+	if s.Zones[p.Zone] == nil {
+		s.Zones[p.Zone] = &Zone{}
+	}
+	return &s.Zones[p.Zone].Values
+}
+
+func (t *Tree) service(name identifier.Service) *Service {
+	if t.Services[name] == nil {
+		t.Services[name] = &Service{}
+	}
+	return t.Services[name]
+}
+
+// Set names a setting at a level.
+func (t *Tree) Set(p Path, field, value string) error {
+	f, err := FieldByName(field)
+	if err != nil {
+		return err
+	}
+	if err := f.set(t.level(p), value); err != nil {
+		return err
+	}
+	return t.Check()
+}
+
+// Unset takes a setting from a level, which then inherits it.
+func (t *Tree) Unset(p Path, field string) error {
+	f, err := FieldByName(field)
+	if err != nil {
+		return err
+	}
+	f.clear(t.level(p))
+	return t.Check()
+}
+
+// Drain says whether a backend server is to be drained.
+func (t *Tree) Drain(name identifier.Service, b identifier.BackendServer, drained bool) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	if s.Servers == nil {
+		s.Servers = map[identifier.BackendServer]*Server{}
+	}
+	s.Servers[b] = &Server{Drained: drained}
+	if !drained {
+		delete(s.Servers, b)
+	}
+	return t.Check()
+}
+
+// Pin gives a hot key of a service a partition of its own.
+func (t *Tree) Pin(name identifier.Service, k identifier.Key) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	if !slices.Contains(s.Pins, k) {
+		s.Pins = append(s.Pins, k)
+	}
+	return t.Check()
+}
+
+// Drained reports whether operators drain a backend server.
+func (t *Tree) Drained(name identifier.Service, b identifier.BackendServer) bool {
+	s, ok := t.Services[name]
+	return ok && s.Servers[b] != nil && s.Servers[b].Drained
+}
--- /dev/null
+++ b/controller/message.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/turmericlift/turmericlift/granter"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// Message is what instances send each other for control.
+type Message interface{ message() }
+
+// ProbeMessage carries a prober's message.
+type ProbeMessage struct{ Probe prober.Message }
+
+// HandOverMessage offers a backend server to the instance that ranks first.
+type HandOverMessage struct{ HandOver granter.HandOver }
+
+// ConfirmMessage carries a granter's promise to the assigner.
+type ConfirmMessage struct{ Confirm granter.Confirm }
+
+// ReportMessage carries a coordinator's report to the assigner.
+type ReportMessage struct{ Report granter.Report }
+
+// FetchMessage asks for the objects that changed since a revision.
+type FetchMessage struct{ Since identifier.Version }
+
+// DocumentsMessage brings objects of the platform. With Complete it holds all that
+// changed from Since up to Revision; else it is news of single objects.
+type DocumentsMessage struct {
+	Complete bool
+	Since    identifier.Version
+	Revision identifier.Version
+	Objects  []storer.Object
+}
+
+func (ProbeMessage) message()     {}
+func (HandOverMessage) message()  {}
+func (ConfirmMessage) message()   {}
+func (ReportMessage) message()    {}
+func (FetchMessage) message()     {}
+func (DocumentsMessage) message() {}
+
+// envelope is the encoded form of a message: exactly one field is set.
+type envelope struct {
+	From      prober.Peer
+	Probe     *prober.Message   `cbor:",omitempty"`
+	HandOver  *granter.HandOver `cbor:",omitempty"`
+	Confirm   *granter.Confirm  `cbor:",omitempty"`
+	Report    *granter.Report   `cbor:",omitempty"`
+	Fetch     *FetchMessage     `cbor:",omitempty"`
+	Documents *DocumentsMessage `cbor:",omitempty"`
+}
+
+// EncodeMessage returns the encoded form of a message, in CBOR.
+func EncodeMessage(from prober.Peer, m Message) ([]byte, error) {
+	e := envelope{From: from}
+	switch m := m.(type) {
+	case ProbeMessage:
+		e.Probe = &m.Probe
+	case HandOverMessage:
+		e.HandOver = &m.HandOver
+	case ConfirmMessage:
+		e.Confirm = &m.Confirm
+	case ReportMessage:
+		e.Report = &m.Report
+	case FetchMessage:
+		e.Fetch = &m
+	case DocumentsMessage:
+		e.Documents = &m
+	}
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode peer message: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeMessage reads the encoded form of a message.
+func DecodeMessage(data []byte) (prober.Peer, Message, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return prober.Peer{}, nil, fmt.Errorf("decode peer message: %w", err)
+	}
+	if err := identifier.CheckName("Instance", string(e.From.Instance)); err != nil {
+		return prober.Peer{}, nil, fmt.Errorf("decode peer message: %w", err)
+	}
+	switch {
+	case e.Probe != nil:
+		return e.From, ProbeMessage{*e.Probe}, nil
+	case e.HandOver != nil:
+		return e.From, HandOverMessage{*e.HandOver}, nil
+	case e.Confirm != nil:
+		return e.From, ConfirmMessage{*e.Confirm}, nil
+	case e.Report != nil:
+		return e.From, ReportMessage{*e.Report}, nil
+	case e.Fetch != nil:
+		return e.From, *e.Fetch, nil
+	case e.Documents != nil:
+		return e.From, *e.Documents, nil
+	}
+	return prober.Peer{}, nil, fmt.Errorf("decode peer message: no kind is set")
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,276 @@
+// Package coordinator runs requests on the backend servers that this instance
+// coordinates: it checks that the server owns the key, counts the server's slots,
+// queues, sends, and says definitely whether a request has run.
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericlift/turmericlift/admitter"
+	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/granter"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/sender"
+)
+
+// Sender sends a request to a backend server.
+type Sender interface {
+	Send(ctx context.Context, address string, r answerer.Request, f sender.Fencing, maxBody int) answerer.Answer
+}
+
+// View is what the control loop publishes for the request path.
+type View struct {
+	Held     map[identifier.BackendServer]granter.Held
+	Settings map[identifier.ServiceName]configurer.Effective
+}
+
+// Coordinator runs requests. It is safe for concurrent use.
+type Coordinator struct {
+	sender Sender
+	clock  func() time.Time
+	view   atomic.Pointer[View]
+	loads  *loads
+
+	mu     sync.Mutex
+	lines  map[identifier.BackendServer]*line
+	nextID admitter.ID
+}
+
+// line is the queue of one backend server, with those who wait in it.
+type line struct {
+	admitter *admitter.Admitter
+	waiting  map[admitter.ID]chan bool // Receives true to start, false when expired.
+}
+
+// New returns a Coordinator that coordinates nothing yet.
+func New(s Sender, clock func() time.Time) *Coordinator {
+	c := &Coordinator{sender: s, clock: clock, loads: newLoads(), lines: map[identifier.BackendServer]*line{}}
+	c.view.Store(&View{})
+	return c
+}
+
+// Publish replaces the view of the request path.
+func (c *Coordinator) Publish(v *View) {
+	c.view.Store(v)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, held := range v.Held {
+		c.tune(id, held, v)
+	}
+	for id, l := range c.lines {
+		if _, ok := v.Held[id]; !ok && len(l.waiting) == 0 && l.admitter.State().Running == 0 {
+			delete(c.lines, id)
+		}
+	}
+}
+
+func (c *Coordinator) tune(id identifier.BackendServer, held granter.Held, v *View) {
+	s, ok := v.Settings[held.Server.Service]
+	if !ok {
+		return
+	}
+	cfg := admitter.Config{Slots: s.Slots, ColdSlots: s.ColdSlots, QueueLength: s.QueueLength}
+	l, ok := c.lines[id]
+	if !ok {
+		l = &line{admitter.New(cfg), map[admitter.ID]chan bool{}}
+		c.lines[id] = l
+	}
+	l.admitter.Configure(cfg)
+	l.admitter.SeeProcess(held.Process)
+	if held.State == granter.ServerCold {
+		l.admitter.SeeCold()
+	}
+}
+
+// Handle runs a request on the backend server that it names.
+func (c *Coordinator) Handle(ctx context.Context, r answerer.Request) answerer.Answer {
+	deadline := c.clock().Add(r.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if _, refusal := c.check(r); refusal != nil {
+		return *refusal
+	}
+	id, refusal := c.admit(ctx, r, deadline)
+	if refusal != nil {
+		return *refusal
+	}
+	answer := c.run(ctx, r, deadline)
+	c.done(r.Server, id, resultOf(answer))
+	return answer
+}
+
+// permit is the right to send one request.
+type permit struct {
+	held  granter.Held
+	grant granter.Grant
+}
+
+// check returns the permit to send a request now, or its refusal.
+func (c *Coordinator) check(r answerer.Request) (permit, *answerer.Answer) {
+	held, ok := c.view.Load().Held[r.Server]
+	if !ok || held.Server.Service != r.Service {
+		return permit{}, refuse(answerer.CodeNotCoordinator, string(r.Server))
+	}
+	if !held.Server.Keyed {
+		return permit{held, granter.PoolGrant}, nil
+	}
+	if held.Assignment == nil {
+		return permit{}, refuse(answerer.CodeNoOwner, "no assignment yet")
+	}
+	p := held.Assignment.PartitionOf(r.Key)
+	owner, e, ok := held.Assignment.Owner(p)
+	if !ok || owner != r.Server {
+		return permit{}, refuse(answerer.CodeNotOwner, string(r.Server))
+	}
+	if _, moving := held.Assignment.Next(p); moving {
+		return permit{}, refuse(answerer.CodeMoving, string(r.Server))
+	}
+	return permit{held, granter.Grant{Partition: p, Epoch: e}}, nil
+}
+
+func refuse(code answerer.Code, detail string) *answerer.Answer {
+	a := answerer.Refuse(code, detail)
+	return &a
+}
+
+// admit waits for a slot of the server.
+func (c *Coordinator) admit(ctx context.Context, r answerer.Request, deadline time.Time) (admitter.ID, *answerer.Answer) {
+	c.mu.Lock()
+	l, ok := c.lines[r.Server]
+	if !ok {
+		c.mu.Unlock()
+		return 0, refuse(answerer.CodeNotCoordinator, string(r.Server))
+	}
+	c.nextID++
+	id := c.nextID
+	flow := admitter.Flow{Organisation: r.Service.Organisation, Key: r.Key}
+	verdict := l.admitter.Arrive(c.clock(), id, flow, deadline)
+	var turn chan bool
+	if verdict == admitter.Wait {
+		turn = make(chan bool, 1)
+		l.waiting[id] = turn
+	}
+	c.mu.Unlock()
+	switch verdict {
+	case admitter.Start:
+		return id, nil
+	case admitter.Wait:
+		return id, c.wait(ctx, r.Server, l, id, turn)
+	case admitter.Full:
+		return 0, refuse(answerer.CodeQueueFull, string(r.Server))
+	case admitter.Expired:
+	}
+	return 0, refuse(answerer.CodeExpired, "before it was queued")
+}
+
+func (c *Coordinator) wait(ctx context.Context, b identifier.BackendServer, l *line, id admitter.ID, turn chan bool) *answerer.Answer {
+	select {
+	case start := <-turn:
+		if start {
+			return nil
+		}
+		return refuse(answerer.CodeExpired, "while it was queued")
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	waited := l.admitter.Cancel(id)
+	delete(l.waiting, id)
+	c.mu.Unlock()
+	if !waited && <-turn {
+		c.done(b, id, admitter.Completed) // Its turn came meanwhile; give the slot back.
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return refuse(answerer.CodeExpired, "while it was queued")
+	}
+	return refuse(answerer.CodeCancelled, "while it was queued")
+}
+
+// run sends a request whose turn has come, unless the server has lost the key or
+// the deadline has passed meanwhile.
+func (c *Coordinator) run(ctx context.Context, r answerer.Request, deadline time.Time) answerer.Answer {
+	p, refusal := c.check(r)
+	if refusal != nil {
+		return *refusal
+	}
+	f := sender.Fencing{Grant: p.grant, Term: p.held.Term}
+	if !p.held.Server.ChecksGrants {
+		f.Deadline = deadline
+		if p.held.ValidUntil.Before(deadline) {
+			f.Deadline = p.held.ValidUntil
+		}
+	}
+	if !c.clock().Before(deadline) || !f.Deadline.IsZero() && !c.clock().Before(f.Deadline) {
+		return answerer.Refuse(answerer.CodeExpired, "before it was sent")
+	}
+	c.loads.count(r.Service, p.grant.Partition)
+	maxBody := c.view.Load().Settings[r.Service].MaxBodyBytes
+	return c.sender.Send(ctx, p.held.Server.Address, r, f, maxBody)
+}
+
+func resultOf(a answerer.Answer) admitter.Result {
+	switch a.Code {
+	case answerer.CodeShed:
+		return admitter.Shed
+	case answerer.CodeBackendUnreachable, answerer.CodeBackendBroke:
+		return admitter.Broke
+	case answerer.CodeTimedOut:
+		return admitter.Slow
+	}
+	return admitter.Completed
+}
+
+// done gives a slot back and starts who is next.
+func (c *Coordinator) done(b identifier.BackendServer, id admitter.ID, r admitter.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.lines[b]
+	if !ok {
+		return
+	}
+	c.wake(l, l.admitter.Done(c.clock(), id, r))
+}
+
+func (c *Coordinator) wake(l *line, d admitter.Decision) {
+	for _, id := range d.Start {
+		l.tell(id, true)
+	}
+	for _, id := range d.Expired {
+		l.tell(id, false)
+	}
+}
+
+func (l *line) tell(id admitter.ID, start bool) {
+	if turn, ok := l.waiting[id]; ok {
+		delete(l.waiting, id)
+		turn <- start
+	}
+}
+
+// Expire answers the requests whose deadline passed while they waited.
+func (c *Coordinator) Expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.lines {
+		c.wake(l, l.admitter.Next(c.clock()))
+	}
+}
+
+// State returns a view of each server's line, for dumps.
+func (c *Coordinator) State() map[identifier.BackendServer]admitter.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	states := make(map[identifier.BackendServer]admitter.State, len(c.lines))
+	for id, l := range c.lines {
+		states[id] = l.admitter.State()
+	}
+	return states
+}
+
+// Loads returns the request rates since the last call, per service and partition.
+func (c *Coordinator) Loads() map[identifier.ServiceName][]granter.PartitionLoad {
+	return c.loads.drain(c.clock())
+}
--- /dev/null
+++ b/granter/enrol.go
@@ -0,0 +1,116 @@
+package granter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/ranker"
+)
+
+// enrol keeps the rosters right: this process is on the roster of its own zone, and
+// on that of a zone without any granter if it ranks first for it; a process that
+// stops leaves once none of its grants is in force.
+func (g *Granter) enrol(now time.Time) []Action {
+	var actions []Action
+	for _, z := range g.zones() {
+		view := g.rosters[z]
+		roster := view.roster.Clone()
+		if !g.amend(now, z, &roster) || now.Sub(g.rosterAt[z]) < g.cfg.RosterRetry {
+			continue
+		}
+		g.rosterAt[z] = now
+		actions = append(actions, WriteRoster{z, view.version, roster})
+	}
+	return actions
+}
+
+// zones returns the zones of the instance and of the listed servers, sorted.
+func (g *Granter) zones() []identifier.Zone {
+	zones := []identifier.Zone{g.cfg.Zone}
+	for _, c := range g.sorted() {
+		zones = append(zones, c.info.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// amend changes a roster as this process wants it and reports whether it did.
+func (g *Granter) amend(now time.Time, z identifier.Zone, r *Roster) bool {
+	changed := g.removeFormer(now, r)
+	_, enrolled := r.Find(g.cfg.Self, g.cfg.Incarnation)
+	wanted := g.wanted(z, r)
+	switch {
+	case enrolled && !r.May(g.cfg.Self, g.cfg.Incarnation):
+		// Fenced: leave once nothing is in force, and enrol anew if still wanted.
+		if g.clear(z) {
+			r.Remove(g.cfg.Self, g.cfg.Incarnation)
+			return true
+		}
+		return changed
+	case wanted && !enrolled:
+		r.Add(g.cfg.Self, g.cfg.Incarnation)
+		return true
+	case !wanted && enrolled && g.clear(z):
+		r.Remove(g.cfg.Self, g.cfg.Incarnation)
+		return true
+	}
+	return enrolled && g.amendHolders(z, r) || changed
+}
+
+// removeFormer takes the former processes of this instance off a roster, once their
+// last grants are over. An instance runs one process at a time: they have ended.
+func (g *Granter) removeFormer(now time.Time, r *Roster) bool {
+	if now.Sub(g.startedAt) < g.cfg.Lease+g.cfg.Margin+g.cfg.ClockSkew {
+		return false
+	}
+	n := len(r.Members)
+	r.Members = slices.DeleteFunc(r.Members, func(m Member) bool {
+		return m.Instance == g.cfg.Self && m.Incarnation < g.cfg.Incarnation
+	})
+	return len(r.Members) < n
+}
+
+// wanted reports whether this process should be on the roster of a zone.
+func (g *Granter) wanted(z identifier.Zone, r *Roster) bool {
+	if g.stopping || g.lost[z] {
+		return false
+	}
+	if z == g.cfg.Zone {
+		return true
+	}
+	var natives []identifier.Instance
+	for _, i := range r.Active() {
+		if zone, ok := g.live[i]; i != g.cfg.Self && (!ok || zone == z) {
+			natives = append(natives, i)
+		}
+	}
+	if len(natives) > 0 {
+		return false
+	}
+	return g.firstFor(z)
+}
+
+// firstFor reports whether this instance ranks first among all live ones to stand
+// in for a zone that has no granter of its own.
+func (g *Granter) firstFor(z identifier.Zone) bool {
+	candidates := []identifier.Instance{g.cfg.Self}
+	for i := range g.live {
+		if i != g.cfg.Self {
+			candidates = append(candidates, i)
+		}
+	}
+	top, _ := ranker.Top(string(z), candidates)
+	return top == g.cfg.Self
+}
+
+// clear reports whether no grant of this process to a zone's servers is in force
+// and none of them is still to be handed over.
+func (g *Granter) clear(z identifier.Zone) bool {
+	for _, c := range g.servers {
+		if c.info.Zone == z && (c.role == holding || len(c.outstanding) > 0) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/granter/exclusive.go
@@ -0,0 +1,115 @@
+package granter
+
+import (
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/partitioner"
+)
+
+// A backend server that does not check grants cannot refuse a former coordinator.
+// Its coordinator is therefore named on the roster, and each request carries an
+// absolute deadline that ends before the coordinator's validUntil, so that the
+// server refuses a request that a paused process sends late.
+
+// driveExclusive moves on the coordination of a server that checks no grants.
+func (g *Granter) driveExclusive(now time.Time, c *coordination) []Action {
+	h, held := g.rosters[c.info.Zone].roster.Holder(c.info.ID)
+	if !held || h != g.self() {
+		c.role = idle
+		return nil
+	}
+	top, ok := g.top(c)
+	if ok && top != g.cfg.Self {
+		c.role = idle // Grants lapse; amendHolders then gives the server back.
+		return nil
+	}
+	c.role = holding
+	if c.inFlight || now.Sub(c.orderAt) < g.cfg.Renew && !c.dirty {
+		return nil
+	}
+	c.dirty = false
+	g.extend(now, c)
+	return g.send(now, c, Order{Server: c.info.ID, Coordinator: g.cfg.Self})
+}
+
+// extend counts the server's partitions as granted for one more Lease.
+func (g *Granter) extend(now time.Time, c *coordination) {
+	c.validUntil = now.Add(g.cfg.Lease)
+	a := g.assignments[c.info.Service].assignment
+	if a == nil {
+		return
+	}
+	until := c.validUntil.Add(g.cfg.Margin + g.cfg.ClockSkew)
+	a.OwnedBy(c.info.ID, func(p identifier.Partition, e identifier.Epoch) {
+		c.outstanding[grantID{Grant{p, e}, 0}] = until
+	})
+}
+
+func (g *Granter) self() Holder { return Holder{g.cfg.Self, g.cfg.Incarnation} }
+
+// amendHolders takes free servers that this process ranks first for, and gives
+// back those that another one ranks first for once nothing of them is in force.
+func (g *Granter) amendHolders(z identifier.Zone, r *Roster) bool {
+	changed := false
+	for _, c := range g.sorted() {
+		if c.info.Zone != z || c.info.ChecksGrants {
+			continue
+		}
+		h, held := r.Holder(c.info.ID)
+		top, ok := g.top(c)
+		switch {
+		case !held && ok && top == g.cfg.Self:
+			r.Hold(c.info.ID, g.self())
+			changed = true
+		case held && h == g.self() && ok && top != g.cfg.Self && len(c.outstanding) == 0:
+			delete(r.Exclusive, c.info.ID)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Held is a backend server that an instance coordinates, as the request path
+// needs it.
+type Held struct {
+	Server ServerInfo
+	Term   identifier.Term
+	// ValidUntil bounds the deadline of requests to a server that checks no grants.
+	ValidUntil time.Time
+	AnsweredAt time.Time
+	State      ServerState
+	Load       int
+	Process    identifier.Incarnation // Of the server, as its last answer says.
+	Assignment *partitioner.Assignment
+}
+
+// Held returns the servers that this instance coordinates.
+func (g *Granter) Held() []Held {
+	var held []Held
+	for _, c := range g.sorted() {
+		if c.role != holding {
+			continue
+		}
+		held = append(held, Held{
+			Server: c.info, Term: c.term, ValidUntil: c.validUntil,
+			AnsweredAt: c.answeredAt, State: c.answer.State,
+			Load: c.answer.Load, Process: c.answer.Ticket.Incarnation, Assignment: g.assignments[c.info.Service].assignment,
+		})
+	}
+	return held
+}
+
+// Drained reports whether a stopping process has handed everything over and left
+// every roster.
+func (g *Granter) Drained() bool {
+	if !g.stopping {
+		return false
+	}
+	for _, view := range g.rosters {
+		if _, enrolled := view.roster.Find(g.cfg.Self, g.cfg.Incarnation); enrolled {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,341 @@
+// Package prober decides which instances are alive, at a cost per instance that
+// does not grow with their number.
+//
+// It follows SWIM (Das, Gupta, Motivala, 2002): an instance probes one other each
+// Period, asks helpers to probe it when it does not answer, suspects it, and
+// declares it dead when nobody objects. News travels on the probes. Two things
+// differ: an instance probes a fixed set of successors on a hash ring in place of
+// random others, so that it keeps connections to a bounded number of instances;
+// and it goes on probing dead ones now and then, so that two sides of a cut find
+// each other again. A Prober is a state machine: it does no I/O and reads no clock.
+package prober
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/ranker"
+)
+
+// Status is what an instance believes of another.
+type Status int
+
+// The statuses, in the order in which they override each other at one incarnation.
+const (
+	Unheard Status = iota // Listed by the platform; has not answered yet.
+	Alive
+	Suspect
+	Dead
+	Left // Shut down gracefully.
+)
+
+// String returns the name of the status.
+func (s Status) String() string {
+	return [...]string{"Unheard", "Alive", "Suspect", "Dead", "Left"}[s]
+}
+
+// Peer is an instance as it is known to others.
+type Peer struct {
+	Instance identifier.Instance
+	Zone     identifier.Zone
+	Address  string // IP and port of the peer listener.
+}
+
+// News is a claim about an instance. A higher incarnation overrides a lower one,
+// and at one incarnation the higher status overrides the lower one.
+type News struct {
+	Peer        Peer
+	Incarnation identifier.Incarnation
+	Status      Status
+}
+
+// Message is what probers send each other.
+type Message struct {
+	Kind   Kind
+	Number uint64 // Matches an acknowledgement to its probe.
+	// About is the instance to be probed, in a Relay and its acknowledgement.
+	About Peer
+	News  []News
+	// Contact is how long before this acknowledgement its sender reached the
+	// platform; negative if it never did.
+	Contact time.Duration
+	// Revision is the platform's revision up to which its sender knows all objects.
+	Revision identifier.Version
+}
+
+// Kind is the kind of a Message.
+type Kind int
+
+// The kinds of messages.
+const (
+	Probe Kind = iota // Are you there?
+	Ack               // I am; or, with About, that instance is.
+	Relay             // Probe that instance for me.
+)
+
+// Config holds a Prober's identity and its times.
+type Config struct {
+	Self        Peer
+	Incarnation identifier.Incarnation
+	Period      time.Duration // Time between two probes.
+	Timeout     time.Duration // Until an unanswered probe is relayed, and then given up.
+	Suspicion   time.Duration // Until a suspect is declared dead.
+	Successors  int           // How many instances are probed in turn.
+	Helpers     int           // How many instances relay a probe.
+}
+
+// The default times and numbers of a Prober.
+const (
+	DefaultPeriod     = 200 * time.Millisecond
+	DefaultTimeout    = 200 * time.Millisecond
+	DefaultSuspicion  = 400 * time.Millisecond
+	DefaultSuccessors = 8
+	DefaultHelpers    = 2
+)
+
+// deadPeriods is how many periods pass between two probes of dead instances.
+const deadPeriods = 5
+
+// newsPerMessage bounds the news on one message.
+const newsPerMessage = 8
+
+// spread times the logarithm of the number of members is how often news is sent.
+const spread = 3
+
+type member struct {
+	News
+	since     time.Time // When the status began.
+	sends     int       // How often the news is still to be sent.
+	unlisted  bool      // The platform's list does not have it any more.
+	probedAt  time.Time
+	probe     uint64 // Number of the probe that is not answered, or 0.
+	relayed   bool
+	contactAt time.Time // When it last reached the platform, at the earliest.
+}
+
+type relayID struct {
+	from   identifier.Instance
+	number uint64
+}
+
+// Prober is the state machine of one instance.
+type Prober struct {
+	cfg      Config
+	members  map[identifier.Instance]*member
+	ring     []identifier.Instance // All others, by their hash.
+	self     member
+	leaving  bool
+	number   uint64
+	turn     int
+	periods  int
+	nextAt   time.Time
+	relays   map[uint64]relayID // Own probe number to the probe it serves.
+	revision identifier.Version
+	contact  time.Time // When this instance last reached the platform.
+	liveEdit uint64
+}
+
+// New returns the Prober of a process.
+func New(cfg Config) *Prober {
+	return &Prober{
+		cfg: cfg, members: map[identifier.Instance]*member{}, relays: map[uint64]relayID{},
+		self: member{News: News{cfg.Self, cfg.Incarnation, Alive}, sends: spread},
+	}
+}
+
+// Event is what can happen to a Prober.
+type Event interface{ proberEvent() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Received brings another prober's message.
+type Received struct {
+	From    Peer
+	Message Message
+}
+
+// Listed brings the instances on the platform's list.
+type Listed struct{ Peers []Peer }
+
+// Reached says that a call that started at At has brought all objects up to a
+// revision of the platform. At is zero if a peer brought them.
+type Reached struct {
+	At       time.Time
+	Revision identifier.Version
+}
+
+// Leave starts the graceful shutdown.
+type Leave struct{}
+
+func (Tick) proberEvent()     {}
+func (Received) proberEvent() {}
+func (Listed) proberEvent()   {}
+func (Reached) proberEvent()  {}
+func (Leave) proberEvent()    {}
+
+// Send is a Prober's only action: to send a message to an instance.
+type Send struct {
+	To      Peer
+	Message Message
+}
+
+// Step takes in an event and returns the messages to send.
+func (p *Prober) Step(now time.Time, event Event) []Send {
+	switch e := event.(type) {
+	case Tick:
+		return p.tick(now)
+	case Received:
+		return p.receive(now, e)
+	case Listed:
+		p.listed(now, e.Peers)
+	case Reached:
+		p.revision = max(p.revision, e.Revision)
+		if e.At.After(p.contact) {
+			p.contact = e.At
+		}
+	case Leave:
+		p.leaving = true
+		p.self.Status = Left
+		p.announce(&p.self)
+		return p.farewell(now)
+	}
+	return nil
+}
+
+// Live returns the instances that answer, with their zones, and without this one.
+func (p *Prober) Live() map[identifier.Instance]identifier.Zone {
+	live := map[identifier.Instance]identifier.Zone{}
+	for i, m := range p.members {
+		if m.Status == Alive || m.Status == Suspect {
+			live[i] = m.Peer.Zone
+		}
+	}
+	return live
+}
+
+// LiveEdit changes whenever the result of Live may have changed.
+func (p *Prober) LiveEdit() uint64 { return p.liveEdit }
+
+// Find returns what is known of an instance.
+func (p *Prober) Find(i identifier.Instance) (News, bool) {
+	m, ok := p.members[i]
+	if !ok {
+		return News{}, false
+	}
+	return m.News, true
+}
+
+// Members returns what is known of all other instances, sorted by name.
+func (p *Prober) Members() []News {
+	var all []News
+	for _, m := range p.members {
+		all = append(all, m.News)
+	}
+	slices.SortFunc(all, func(x, y News) int {
+		if x.Peer.Instance < y.Peer.Instance {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// ContactAt returns when the platform was last reached at the earliest, by this
+// instance or by one that has acknowledged a probe since.
+func (p *Prober) ContactAt() time.Time {
+	latest := p.contact
+	for _, m := range p.members {
+		if m.contactAt.After(latest) {
+			latest = m.contactAt
+		}
+	}
+	return latest
+}
+
+// listed takes in the platform's list. An instance that is listed and was never
+// heard of is probed; one that is dead and off the list is forgotten.
+func (p *Prober) listed(now time.Time, peers []Peer) {
+	on := map[identifier.Instance]bool{}
+	for _, peer := range peers {
+		on[peer.Instance] = true
+		if _, ok := p.members[peer.Instance]; !ok && peer.Instance != p.cfg.Self.Instance {
+			p.add(now, News{Peer: peer, Status: Unheard})
+		}
+	}
+	for i, m := range p.members {
+		m.unlisted = !on[i]
+		if m.unlisted && m.Status != Alive && m.Status != Suspect {
+			delete(p.members, i)
+		}
+	}
+	p.rebuild()
+}
+
+func (p *Prober) add(now time.Time, n News) *member {
+	m := &member{News: n, since: now}
+	p.members[n.Peer.Instance] = m
+	p.rebuild()
+	p.liveEdit++
+	return m
+}
+
+// rebuild sorts the ring by hash, seen from this instance onwards.
+func (p *Prober) rebuild() {
+	p.ring = p.ring[:0]
+	for i := range p.members {
+		p.ring = append(p.ring, i)
+	}
+	own := ranker.Weight("ring", string(p.cfg.Self.Instance))
+	slices.SortFunc(p.ring, func(x, y identifier.Instance) int {
+		if ranker.Weight("ring", string(x))-own < ranker.Weight("ring", string(y))-own {
+			return -1
+		}
+		return 1
+	})
+}
+
+// announce queues news to be sent to enough others that all learn of it.
+func (p *Prober) announce(m *member) {
+	m.sends = spread * (bits.Len(uint(len(p.members))) + 1)
+}
+
+// news returns the claims to send along, those that were sent least first.
+func (p *Prober) news() []News {
+	var queue []*member
+	if p.self.sends > 0 {
+		queue = append(queue, &p.self)
+	}
+	for _, i := range p.ring {
+		if m := p.members[i]; m.sends > 0 && m.Status != Unheard {
+			queue = append(queue, m)
+		}
+	}
+	slices.SortStableFunc(queue, func(x, y *member) int { return y.sends - x.sends })
+	var out []News
+	for _, m := range queue[:min(len(queue), newsPerMessage)] {
+		m.sends--
+		out = append(out, m.News)
+	}
+	return out
+}
+
+func (p *Prober) send(now time.Time, to Peer, m Message) Send {
+	m.News = p.news()
+	m.Revision = p.revision
+	m.Contact = -1
+	if !p.contact.IsZero() {
+		m.Contact = now.Sub(p.contact)
+	}
+	return Send{to, m}
+}
+
+func (p *Prober) farewell(now time.Time) []Send {
+	var sends []Send
+	for _, m := range p.targets() {
+		sends = append(sends, p.send(now, m.Peer, Message{Kind: Ack}))
+	}
+	return sends
+}
--- /dev/null
+++ b/runner/operators.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/turmericlift/turmericlift/admitter"
+	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/controller"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/router"
+)
+
+// operatorHandler returns the operators' HTTP interface. Every call needs the token.
+func (r *Runner) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.metrics)
+	mux.HandleFunc("GET /dump", r.serveDump)
+	mux.HandleFunc("GET /where/{organisation}/{service}/{key...}", r.serveWhere)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		token := strings.TrimPrefix(req.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(r.cfg.OperatorToken)) != 1 {
+			http.Error(w, answerer.CodeUnauthorized.String(), http.StatusUnauthorized)
+			return
+		}
+		mux.ServeHTTP(w, req)
+	})
+}
+
+// serveReady tells the platform's balancer whether the instance takes requests.
+func (r *Runner) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if r.leaving.Load() || !r.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// Dump is a view of an instance's whole state.
+type Dump struct {
+	controller.Dump
+	Ready   bool
+	Leaving bool
+	Lines   map[identifier.BackendServer]admitter.State
+}
+
+func (r *Runner) serveDump(w http.ResponseWriter, req *http.Request) {
+	d := Dump{Ready: r.ready.Load(), Leaving: r.leaving.Load(), Lines: r.coord.State()}
+	r.look(req.Context(), func(c *controller.Controller) { d.Dump = c.Dump(time.Now()) })
+	serveJSON(w, d)
+}
+
+// Where says who serves a key.
+type Where struct {
+	router.Route
+	Code string
+	// Next is the backend server that the partition is moving to, if any.
+	Next identifier.BackendServer `json:",omitempty"`
+}
+
+func (r *Runner) serveWhere(w http.ResponseWriter, req *http.Request) {
+	name := identifier.ServiceName{
+		Organisation: identifier.Organisation(req.PathValue("organisation")),
+		Service:      identifier.Service(req.PathValue("service")),
+	}
+	s, ok := r.dispatch.Table().Find(name)
+	if !ok {
+		http.Error(w, answerer.CodeUnknownService.String(), http.StatusNotFound)
+		return
+	}
+	route, code := s.RouteKey(identifier.Key(req.PathValue("key")))
+	where := Where{Route: route, Code: code.String()}
+	if s.Assignment != nil {
+		where.Next, _ = s.Assignment.Next(route.Partition)
+	}
+	serveJSON(w, where)
+}
+
+func serveJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
