--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -54,7 +54,7 @@
 	// writeTimeout is how long a write may take before another one is tried.
 	writeTimeout = 3 * time.Second
 	// writeRetry is the time until a write that did not take effect is tried again.
-	writeRetry = 200 * time.Millisecond
+	writeRetry = 100 * time.Millisecond
 	// plannedBatch is the share of a service's partitions that may be marked at once
 	// for other reasons than a loss, as a divisor.
 	plannedBatch = 4
@@ -321,7 +321,7 @@
 
 func (a *Assigner) create(now time.Time) (*partitioner.Assignment, bool) {
 	servers := a.candidates(now)
-	if now.Sub(a.ledSince) < a.cfg.Settle || !slices.ContainsFunc(servers, func(c Candidate) bool { return c.Receive }) {
+	if !a.settled(now) || !slices.ContainsFunc(servers, func(c Candidate) bool { return c.Receive }) {
 		return nil, false
 	}
 	next, err := partitioner.New(a.settings.Partitions)
@@ -334,12 +334,34 @@
 	return next, true
 }
 
-// finish commits the marked partitions whose old grants are all over.
+// settled reports whether enough is known to place partitions for the first time:
+// all listed servers have been reported on, or there was time enough.
+func (a *Assigner) settled(now time.Time) bool {
+	led := now.Sub(a.ledSince)
+	for _, s := range a.servers {
+		if s.listed && !s.info.Leaving && !a.reported(now, s) && led < 3*a.cfg.Settle {
+			return false
+		}
+	}
+	return led >= a.cfg.Settle
+}
+
+// finish commits the marked partitions whose old grants are all over, to servers
+// that can take them now.
 func (a *Assigner) finish(now time.Time, next *partitioner.Assignment) bool {
 	changed := false
+	servers := a.candidates(now)
 	for _, p := range next.Moving() {
-		if a.over(now, a.marks[p]) {
+		if !a.over(now, a.marks[p]) {
+			continue
+		}
+		if to, _ := next.Next(p); a.receives(servers, to) {
 			changed = next.Commit(p) == nil || changed
+			continue
+		}
+		if redirect(next, p, servers) {
+			_ = next.Commit(p) // It fails if the mark was taken back.
+			changed = true
 		}
 	}
 	return changed
@@ -352,11 +374,19 @@
 		return false
 	}
 	zone := a.zoneOf(owner)
+	return a.promised(now, m) && a.promises.over(now, m.grant, a.rosters[zone].roster.Members)
+}
+
+// promised reports whether every process that could grant a marked partition has
+// promised not to, and none can join that has not.
+func (a *Assigner) promised(now time.Time, m mark) bool {
+	owner, _, _ := a.assignment.Owner(m.grant.Partition)
+	zone := a.zoneOf(owner)
 	view, ok := a.rosters[zone]
 	if !ok || view.roster.Floors[a.cfg.Service] < m.version {
 		return false
 	}
-	return a.promises.kept(now, m.grant, m.version, view.roster.Members, func(member granter.Member) bool {
+	return a.promises.given(m.version, view.roster.Members, func(member granter.Member) bool {
 		return a.excused(now, zone, member)
 	})
 }
@@ -377,7 +407,7 @@
 	return ""
 }
 
-// revise redirects marks whose next owner is not well any more, and takes back
+// revise redirects marks whose next owner may keep nothing any more, and takes back
 // those that wait for long though their owner answers.
 func (a *Assigner) revise(now time.Time, next *partitioner.Assignment) bool {
 	changed := false
@@ -386,18 +416,32 @@
 		m := a.marks[p]
 		owner, _, _ := next.Owner(p)
 		to, _ := next.Next(p)
-		if now.Sub(m.seenAt) >= abortAfter && a.answers(now, owner) {
+		if now.Sub(m.seenAt) >= abortAfter && a.answers(now, owner) && !a.promised(now, m) {
 			changed = next.Abort(p) == nil || changed
 			continue
 		}
-		if a.receives(servers, to) {
+		if a.evacuates(servers, to) {
+			changed = redirect(next, p, servers) || changed
+		}
+	}
+	return changed
+}
+
+// redirect names another next owner for a marked partition. Without one the mark is
+// taken back, if the present owner may keep the partition.
+func redirect(next *partitioner.Assignment, p identifier.Partition, servers []Candidate) bool {
+	owner, _, _ := next.Owner(p)
+	stays := false
+	for _, c := range servers {
+		if c.ID == owner {
+			stays = !c.Evacuate
 			continue
 		}
-		if other, ok := a.another(servers, owner); ok {
-			changed = next.Redirect(p, other) == nil || changed
+		if c.Receive && !c.Evacuate {
+			return next.Redirect(p, c.Server) == nil
 		}
 	}
-	return changed
+	return stays && next.Abort(p) == nil
 }
 
 // answers reports whether a listed backend server is known to answer.
@@ -414,11 +458,6 @@
 	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Receive })
 }
 
-func (a *Assigner) another(servers []Candidate, not identifier.BackendServer) (partitioner.Server, bool) {
-	for _, c := range servers {
-		if c.ID != not && c.Receive && !c.Evacuate {
-			return c.Server, true
-		}
-	}
-	return partitioner.Server{}, false
+func (a *Assigner) evacuates(servers []Candidate, b identifier.BackendServer) bool {
+	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Evacuate })
 }
--- a/assigner/promises.go
+++ b/assigner/promises.go
@@ -42,29 +42,29 @@
 	ps[from] = p
 }
 
-// kept reports whether every member of a roster has promised, at a version or
-// above, not to grant g, and whether all that they granted before is over. excused
-// says which members need not promise any more.
-func (ps promises) kept(now time.Time, g granter.Grant, v identifier.Version,
-	members []granter.Member, excused func(granter.Member) bool) bool {
+// given reports whether every member of a roster has promised, at a version or
+// above, not to grant what is marked there. excused says which members need not
+// promise any more.
+func (ps promises) given(v identifier.Version, members []granter.Member, excused func(granter.Member) bool) bool {
 	for _, m := range members {
-		if excused(m) {
-			continue
-		}
 		p, ok := ps[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
-		if !ok || p.version < v || !ps.over(now, g, p) {
+		if !excused(m) && (!ok || p.version < v) {
 			return false
 		}
 	}
 	return true
 }
 
-// over reports whether each grant of g in one process's promise has lapsed or was
-// revoked, by whichever process, at the server's process that had it.
-func (ps promises) over(now time.Time, g granter.Grant, p promise) bool {
-	for id, until := range p.outstanding {
-		if id.Grant == g && until.After(now) && !ps.revoked(id) {
-			return false
+// over reports whether each grant of g that a member of a roster gave before its
+// promise has lapsed or was revoked, by whichever process, at the server's process
+// that had it.
+func (ps promises) over(now time.Time, g granter.Grant, members []granter.Member) bool {
+	for _, m := range members {
+		p := ps[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
+		for id, until := range p.outstanding {
+			if id.Grant == g && until.After(now) && !ps.revoked(id) {
+				return false
+			}
 		}
 	}
 	return true
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -211,7 +211,7 @@
 		case granter.SendReport:
 			c.toAssigner(now, a.Report.Service, ReportMessage{a.Report})
 		case granter.WriteRoster:
-			c.putRoster(a.Zone, a.Expected, a.Roster, writer{zone: a.Zone})
+			c.putRoster(now, a.Zone, a.Expected, a.Roster, writer{zone: a.Zone})
 		}
 	}
 }
@@ -225,29 +225,30 @@
 		switch act := action.(type) {
 		case assigner.PutAssignment:
 			data, err := act.Assignment.Encode()
-			c.put(AssignmentName(s), act.Expected, data, err, writer{service: s, kind: assigner.WriteAssignment})
+			c.put(now, AssignmentName(s), act.Expected, data, err, writer{service: s, kind: assigner.WriteAssignment})
 		case assigner.PutRoster:
-			c.putRoster(act.Zone, act.Expected, act.Roster, writer{s, assigner.WriteRosterOf, act.Zone})
+			c.putRoster(now, act.Zone, act.Expected, act.Roster, writer{s, assigner.WriteRosterOf, act.Zone})
 		case assigner.PutRecord:
 			data, err := assigner.EncodeRecord(act.Record)
-			c.put(AssignerName(s), act.Expected, data, err, writer{service: s, kind: assigner.WriteRecord})
+			c.put(now, AssignerName(s), act.Expected, data, err, writer{service: s, kind: assigner.WriteRecord})
 		}
 	}
 }
 
-func (c *Controller) putRoster(z identifier.Zone, v identifier.Version, r granter.Roster, w writer) {
+func (c *Controller) putRoster(now time.Time, z identifier.Zone, v identifier.Version, r granter.Roster, w writer) {
 	data, err := r.Encode()
-	c.put(RosterName(z), v, data, err, w)
+	c.put(now, RosterName(z), v, data, err, w)
 }
 
 // put starts a conditional write, unless one of the object is under way; whoever
-// wants it tries again later.
-func (c *Controller) put(name string, v identifier.Version, data []byte, err error, w writer) {
-	if _, busy := c.writing[name]; busy {
-		return
-	}
+// wants it is told at once, and tries again later.
+func (c *Controller) put(now time.Time, name string, v identifier.Version, data []byte, err error, w writer) {
+	_, busy := c.writing[name]
 	if err != nil {
 		c.do(Noted{"EncodeFailed", err.Error()})
+	}
+	if busy || err != nil {
+		c.report(now, w, false)
 		return
 	}
 	c.writing[name] = w
@@ -282,6 +283,11 @@
 		return
 	}
 	delete(c.writing, name)
+	c.report(now, w, took)
+}
+
+// report tells whoever wanted a write how it has ended.
+func (c *Controller) report(now time.Time, w writer, took bool) {
 	if w.service != (identifier.ServiceName{}) {
 		c.assign(now, w.service, assigner.Wrote{Kind: w.kind, Zone: w.zone, Took: took})
 	}
--- a/granter/enrol.go
+++ b/granter/enrol.go
@@ -25,12 +25,18 @@
 	return actions
 }
 
-// zones returns the zones of the instance and of the listed servers, sorted.
+// zones returns the zones of the instance and of the listed servers, and those whose
+// rosters have a process of the instance, sorted.
 func (g *Granter) zones() []identifier.Zone {
 	zones := []identifier.Zone{g.cfg.Zone}
 	for _, c := range g.sorted() {
 		zones = append(zones, c.info.Zone)
 	}
+	for z, view := range g.rosters {
+		if view.roster.Has(g.cfg.Self) {
+			zones = append(zones, z)
+		}
+	}
 	slices.Sort(zones)
 	return slices.Compact(zones)
 }
@@ -79,6 +85,9 @@
 	if z == g.cfg.Zone {
 		return true
 	}
+	if !g.hasServers(z) {
+		return false
+	}
 	var natives []identifier.Instance
 	for _, i := range r.Active() {
 		if zone, ok := g.live[i]; i != g.cfg.Self && (!ok || zone == z) {
@@ -91,6 +100,15 @@
 	return g.firstFor(z)
 }
 
+func (g *Granter) hasServers(z identifier.Zone) bool {
+	for _, c := range g.servers {
+		if c.info.Zone == z {
+			return true
+		}
+	}
+	return false
+}
+
 // firstFor reports whether this instance ranks first among all live ones to stand
 // in for a zone that has no granter of its own.
 func (g *Granter) firstFor(z identifier.Zone) bool {
--- a/granter/exclusive.go
+++ b/granter/exclusive.go
@@ -24,12 +24,17 @@
 		c.role = idle // Grants lapse; amendHolders then gives the server back.
 		return nil
 	}
+	due := now.Sub(c.orderAt) >= g.cfg.Renew
+	if due || c.dirty || c.role != holding {
+		// The request path goes by the new assignment from this step on, so what it may
+		// send must be counted now, whether or not the server can be asked.
+		g.extend(now, c)
+	}
 	c.role = holding
-	if c.inFlight || now.Sub(c.orderAt) < g.cfg.Renew && !c.dirty {
+	c.dirty = false
+	if c.inFlight || !due {
 		return nil
 	}
-	c.dirty = false
-	g.extend(now, c)
 	return g.send(now, c, Order{Server: c.info.ID, Coordinator: g.cfg.Self})
 }
 
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -361,7 +361,7 @@
 		c.dirty = true
 	case a.Result == StateOnly && c.role == asking:
 		return g.claim(now, c, a)
-	case a.Result == StateOnly && c.role == holding:
+	case a.Result == StateOnly && c.role == holding && c.info.ChecksGrants:
 		c.dirty = true
 		return g.drive(now, c)
 	}
--- a/granter/roster.go
+++ b/granter/roster.go
@@ -61,6 +61,11 @@
 	return Member{}, false
 }
 
+// Has reports whether any process of an instance is on the roster.
+func (r Roster) Has(i identifier.Instance) bool {
+	return slices.ContainsFunc(r.Members, func(m Member) bool { return m.Instance == i })
+}
+
 // May reports whether a process may grant.
 func (r Roster) May(i identifier.Instance, inc identifier.Incarnation) bool {
 	m, ok := r.Find(i, inc)
