journaler: a request that may not be repeated runs once at most

Cause: resends of such requests ran again; nothing remembered them. Change: journals on the platform, one object per group of request IDs, written by conditional writes that many requests share; the keeper of a group is the first live instance by rank, and two keepers cannot both let a request run. Requests that crash backend servers are refused after two crashes, on all instances. A server that loses a key while it runs a request for it is not waited for any longer. Load that differs by chance is no reason to move now.

--- a/answerer/code.go
+++ b/answerer/code.go
@@ -35,6 +35,10 @@
 	CodeShuttingDown       Code = 3004
 	CodeQuarantined        Code = 3005
 	CodeZoneOut            Code = 3006
+	CodeNotRecorded        Code = 3007
+	CodeJournalFull        Code = 3008
+	CodeRequestIDTooOld    Code = 3009
+	CodeInDoubt            Code = 4008
 	CodeBackendUnreachable Code = 4001
 	CodeBackendBroke       Code = 4002
 	CodePeerUnreachable    Code = 4003
@@ -81,6 +85,9 @@
 	{CodeShuttingDown, "ShuttingDown", http.StatusServiceUnavailable, "The instance is shutting down."},
 	{CodeQuarantined, "Quarantined", http.StatusUnprocessableEntity, "Requests like this one have crashed backend servers."},
 	{CodeZoneOut, "ZoneOut", http.StatusServiceUnavailable, "The availability zone is taken out."},
+	{CodeNotRecorded, "NotRecorded", http.StatusServiceUnavailable, "The platform does not answer, so a request that may not be repeated cannot be recorded."},
+	{CodeJournalFull, "JournalFull", http.StatusServiceUnavailable, "The journal has no room for a request that may not be repeated."},
+	{CodeRequestIDTooOld, "RequestIDTooOld", http.StatusConflict, "The Idempotency-Key is older than outcomes are kept."},
 	{CodeBackendUnreachable, "BackendUnreachable", http.StatusServiceUnavailable, "No connection to the backend server could be made."},
 	{CodeBackendBroke, "BackendBroke", http.StatusBadGateway, "The connection broke after the request was sent."},
 	{CodePeerUnreachable, "PeerUnreachable", http.StatusServiceUnavailable, "The coordinator could not be reached."},
@@ -88,6 +95,7 @@
 	{CodeCancelled, "Cancelled", 499, "The caller went away."},
 	{CodeAnswerTooLarge, "AnswerTooLarge", http.StatusBadGateway, "The backend server's answer is over the limit."},
 	{CodeTimedOut, "TimedOut", http.StatusGatewayTimeout, "The deadline passed while the request ran."},
+	{CodeInDoubt, "InDoubt", http.StatusConflict, "A request with this Idempotency-Key may have run before; it is not run again."},
 	{CodeBadPeerMessage, "BadPeerMessage", http.StatusBadGateway, "A message of another instance does not decode; it was dropped."},
 	{CodeBadObject, "BadObject", http.StatusInternalServerError, "An object on the platform does not decode; the last good state is kept."},
 	{CodePlatformDown, "PlatformDown", http.StatusServiceUnavailable, "The platform does not answer."},
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -97,7 +97,7 @@
 	listAt     time.Time
 	fencedAt   map[granter.Holder]time.Time // When a process was first seen to be fenced.
 	promises   promises
-	weights    weights
+	loads      loads
 
 	ledSince   time.Time
 	writingAt  time.Time // Zero: no write of the assignment is under way.
@@ -246,7 +246,7 @@
 			s.report, s.reportAt = sr, now
 		}
 	}
-	a.weights.take(now, r.Loads)
+	a.loads.take(r.Loads)
 }
 
 // wrote takes in the end of a write. One that did not take effect is not tried
@@ -328,7 +328,7 @@
 	if err != nil {
 		return nil, false // The settings are checked before they are written.
 	}
-	for _, m := range Decide(next, a.weights.all(next.Len()), servers, 0).Evacuations {
+	for _, m := range Decide(next, a.loads.weights(next.Len()), servers, 0).Evacuations {
 		_ = next.Place(m.Partition, m.To)
 	}
 	return next, true
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -57,7 +57,7 @@
 		limit = max(1, a.settings.BalanceMovesPerMinute*int(balanceEvery/time.Second)/60)
 	}
 	servers := a.candidates(now)
-	plan := Decide(next, a.weights.all(next.Len()), servers, limit)
+	plan := Decide(next, a.loads.weights(next.Len()), servers, limit)
 	changed := false
 	room := max(8, next.Len()/plannedBatch) - len(next.Moving())
 	for _, m := range plan.Evacuations {
--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -15,6 +16,7 @@
 	imbalanceStop  = 1.08 // Down to this, once they move.
 	placeBound     = 1.05 // Up to this, a partition goes to the server that ranks first for it.
 	coldShare      = 0.25 // Of the mean load, at most, goes to a cold server.
+	noiseSigmas    = 3    // Standard deviations of a measured load that are no reason to move.
 )
 
 // Candidate is a backend server as a planner sees it.
@@ -48,25 +50,26 @@
 	order      []Candidate // Receivers, sorted by name.
 	load       map[identifier.BackendServer]float64
 	mean       float64
+	measured   bool
 }
 
 // Decide plans the moves that a service needs: away from servers that may keep no
 // partition, and then from servers whose load is over the bound, at most
-// balanceMoves of them. weights holds the load of each partition. It moves no
+// balanceMoves of them. w holds the load of each partition. It moves no
 // partition that need not move, and spreads a lost server's partitions over all
 // receivers by rendezvous hashing with bounded loads (Mirrokni, Thorup,
 // Zadimoghaddam, 2016).
-func Decide(a *partitioner.Assignment, weights []float64, servers []Candidate, balanceMoves int) Plan {
-	p := newPlanner(a, weights, servers)
+func Decide(a *partitioner.Assignment, w Weights, servers []Candidate, balanceMoves int) Plan {
+	p := newPlanner(a, w, servers)
 	if len(p.order) == 0 {
 		return Plan{}
 	}
 	return Plan{Evacuations: p.evacuate(), Balances: p.balance(balanceMoves)}
 }
 
-func newPlanner(a *partitioner.Assignment, weights []float64, servers []Candidate) *planner {
+func newPlanner(a *partitioner.Assignment, w Weights, servers []Candidate) *planner {
 	p := &planner{
-		assignment: a, weights: weights, servers: map[identifier.BackendServer]Candidate{},
+		assignment: a, weights: w.Of, measured: w.Measured, servers: map[identifier.BackendServer]Candidate{},
 		load: map[identifier.BackendServer]float64{},
 	}
 	for _, s := range servers {
@@ -196,7 +199,7 @@
 		if len(moves) == 0 {
 			threshold = imbalanceStart
 		}
-		if p.load[from] <= threshold*p.mean {
+		if p.load[from] <= threshold*p.mean || p.load[from]-p.mean < p.noise(from) {
 			return moves
 		}
 		part, ok := p.best(from, to, moved)
@@ -209,6 +212,16 @@
 	return moves
 }
 
+// noise returns how far a server's measured load may be from its true load by
+// chance: noiseSigmas standard deviations of the count of requests in the time that
+// the weights remember.
+func (p *planner) noise(b identifier.BackendServer) float64 {
+	if !p.measured {
+		return 0
+	}
+	return noiseSigmas * math.Sqrt(p.load[b]/weightMemory.Seconds())
+}
+
 // extremes returns the server with the most load and the receiver with the least.
 func (p *planner) extremes() (from identifier.BackendServer, to Candidate) {
 	var most float64
--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -7,40 +7,53 @@
 	"github.com/turmericlift/turmericlift/identifier"
 )
 
-// smoothing is the share of a new measurement in a partition's weight.
-const smoothing = 0.3
+const (
+	// smoothing is the share of a new measurement, one a second, in a partition's load.
+	smoothing = 0.2
+	// weightMemory is the time that the smoothing remembers: 1/smoothing measurements.
+	weightMemory = 5 * time.Second
+	// baseShare is the weight that every partition has besides its measured load, as a
+	// share of the mean load: idle partitions are spread too.
+	baseShare = 0.05
+)
 
-// baseShare is the weight that every partition has besides its measured load, as a
-// share of the mean load: idle partitions are spread too.
-const baseShare = 0.05
+// Weights are the loads that a plan goes by.
+type Weights struct {
+	Of []float64 // Of each partition.
+	// Measured is false if nearly nothing is measured, and every partition weighs 1.
+	Measured bool
+}
 
-// weights keeps the smoothed load of each partition, in requests per second.
-type weights struct {
+// loads keeps the smoothed load of each partition, in requests per second.
+type loads struct {
 	rates map[identifier.Partition]float64
 }
 
-func (ws *weights) take(_ time.Time, loads []granter.PartitionLoad) {
-	if ws.rates == nil {
-		ws.rates = map[identifier.Partition]float64{}
+func (l *loads) take(measured []granter.PartitionLoad) {
+	if l.rates == nil {
+		l.rates = map[identifier.Partition]float64{}
 	}
-	for _, l := range loads {
-		ws.rates[l.Partition] += smoothing * (l.Rate - ws.rates[l.Partition])
+	for _, m := range measured {
+		l.rates[m.Partition] += smoothing * (m.Rate - l.rates[m.Partition])
 	}
 }
 
-// all returns the weight of each of n partitions.
-func (ws *weights) all(n int) []float64 {
+// weights returns the weight of each of n partitions.
+func (l *loads) weights(n int) Weights {
 	total := 0.0
-	for _, r := range ws.rates {
+	for _, r := range l.rates {
 		total += r
 	}
-	base := baseShare * total / float64(n)
-	if total < 1 {
-		base = 1
+	w := Weights{Of: make([]float64, n), Measured: total >= 1}
+	base := 1.0
+	if w.Measured {
+		base = baseShare * total / float64(n)
 	}
-	all := make([]float64, n)
-	for p := range all {
-		all[p] = base + ws.rates[identifier.Partition(p)]
+	for p := range w.Of {
+		w.Of[p] = base
+		if w.Measured {
+			w.Of[p] += l.rates[identifier.Partition(p)]
+		}
 	}
-	return all
+	return w
 }
--- a/configurer/tree.go
+++ b/configurer/tree.go
@@ -175,6 +175,8 @@
 	RetryPercent          int
 	HedgePercent          int
 	OutcomeRecord         string
+	OutcomeRetention      time.Duration
+	JournalGroups         int
 }
 
 // Effective returns the settings in force for a service in a zone; the zone may be
@@ -188,7 +190,8 @@
 		Slots:                 *v.Slots, ColdSlots: *v.ColdSlots, QueueLength: *v.QueueLength,
 		Connections: *v.Connections, Timeout: milliseconds(*v.TimeoutMs), MaxTimeout: milliseconds(*v.MaxTimeoutMs),
 		MaxBodyBytes: *v.MaxBodyBytes, RetryPercent: *v.RetryPercent, HedgePercent: *v.HedgePercent,
-		OutcomeRecord: *v.OutcomeRecord,
+		OutcomeRecord: *v.OutcomeRecord, OutcomeRetention: time.Duration(*v.OutcomeRetentionS) * time.Second,
+		JournalGroups: *v.JournalGroups,
 	}
 }
 
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -27,6 +27,8 @@
 	RetryPercent          *int    `json:",omitempty"`
 	HedgePercent          *int    `json:",omitempty"`
 	OutcomeRecord         *string `json:",omitempty"`
+	OutcomeRetentionS     *int    `json:",omitempty"`
+	JournalGroups         *int    `json:",omitempty"`
 }
 
 // The values of OutcomeRecord.
@@ -90,7 +92,11 @@
 	number("HedgePercent", "Hedges of idempotent requests to a pool, as a share of requests, in percent.", 4, 0, 50,
 		func(v *Values) **int { return &v.HedgePercent }),
 	choice("OutcomeRecord", "Where outcomes of requests that may not be repeated are kept.",
-		[]string{RecordMemory, RecordPlatform}, func(v *Values) **string { return &v.OutcomeRecord }),
+		[]string{RecordPlatform, RecordMemory}, func(v *Values) **string { return &v.OutcomeRecord }),
+	number("OutcomeRetentionS", "How long the outcome of a request that may not be repeated is kept, in s.", 600, 10, 86400,
+		func(v *Values) **int { return &v.OutcomeRetentionS }),
+	number("JournalGroups", "Number of journal objects of the service; each takes 10 writes a second at most.", 8, 1, 256,
+		func(v *Values) **int { return &v.JournalGroups }),
 }
 
 func number(name, help string, def, least, most int, at func(*Values) **int) Field {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/partitioner"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
@@ -123,6 +125,8 @@
 		c.grant(now, e.Answered)
 	case LoadsMeasured:
 		c.grant(now, granter.LoadsMeasured{Service: e.Service, Loads: e.Loads})
+	case CrashSeen:
+		c.tellCrash(e.Crash)
 	case Stop:
 		c.stop(now)
 	}
@@ -177,6 +181,19 @@
 		c.supply(e.From, m)
 	case DocumentsMessage:
 		c.takeDocuments(now, m)
+	case CrashMessage:
+		c.do(HearCrash(m))
+	}
+}
+
+// tellCrash tells every live instance of a crash. Crashes are rare, and each instance
+// must know of them before the caller sends its request again.
+func (c *Controller) tellCrash(crash quarantiner.Crash) {
+	c.do(Noted{"BackendServerCrashed", fmt.Sprintf("fingerprint %x", uint64(crash.Fingerprint))})
+	for _, news := range c.prober.Members() {
+		if news.Status == prober.Alive || news.Status == prober.Suspect {
+			c.do(SendMessage{news.Peer, CrashMessage{crash}})
+		}
 	}
 }
 
--- a/controller/event.go
+++ b/controller/event.go
@@ -6,6 +6,7 @@
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
@@ -63,6 +64,9 @@
 	Loads   []granter.PartitionLoad
 }
 
+// CrashSeen says that a backend server crashed under a request of this instance.
+type CrashSeen struct{ Crash quarantiner.Crash }
+
 // Stop starts the graceful shutdown.
 type Stop struct{}
 
@@ -75,6 +79,7 @@
 func (WriteEnded) controllerEvent()      {}
 func (OrderEnded) controllerEvent()      {}
 func (LoadsMeasured) controllerEvent()   {}
+func (CrashSeen) controllerEvent()       {}
 func (Stop) controllerEvent()            {}
 
 // Action is what a Controller wants done.
@@ -98,6 +103,9 @@
 // ReadObject reads an object.
 type ReadObject struct{ Name string }
 
+// HearCrash passes on a crash that another instance has seen.
+type HearCrash struct{ Crash quarantiner.Crash }
+
 // Noted reports a change of state or a fault, for counters and logs.
 type Noted struct {
 	Subject string // A counter's name.
@@ -108,4 +116,5 @@
 func (SendOrder) controllerAction()   {}
 func (WriteObject) controllerAction() {}
 func (ReadObject) controllerAction()  {}
+func (HearCrash) controllerAction()   {}
 func (Noted) controllerAction()       {}
--- a/controller/message.go
+++ b/controller/message.go
@@ -8,6 +8,7 @@
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
@@ -38,6 +39,10 @@
 	Objects  []storer.Object
 }
 
+// CrashMessage tells of a request that a backend server crashed under.
+type CrashMessage struct{ Crash quarantiner.Crash }
+
+func (CrashMessage) message()     {}
 func (ProbeMessage) message()     {}
 func (HandOverMessage) message()  {}
 func (ConfirmMessage) message()   {}
@@ -48,12 +53,13 @@
 // envelope is the encoded form of a message: exactly one field is set.
 type envelope struct {
 	From      prober.Peer
-	Probe     *prober.Message   `cbor:",omitempty"`
-	HandOver  *granter.HandOver `cbor:",omitempty"`
-	Confirm   *granter.Confirm  `cbor:",omitempty"`
-	Report    *granter.Report   `cbor:",omitempty"`
-	Fetch     *FetchMessage     `cbor:",omitempty"`
-	Documents *DocumentsMessage `cbor:",omitempty"`
+	Probe     *prober.Message    `cbor:",omitempty"`
+	HandOver  *granter.HandOver  `cbor:",omitempty"`
+	Confirm   *granter.Confirm   `cbor:",omitempty"`
+	Report    *granter.Report    `cbor:",omitempty"`
+	Fetch     *FetchMessage      `cbor:",omitempty"`
+	Documents *DocumentsMessage  `cbor:",omitempty"`
+	Crash     *quarantiner.Crash `cbor:",omitempty"`
 }
 
 // EncodeMessage returns the encoded form of a message, in CBOR.
@@ -72,6 +78,8 @@
 		e.Fetch = &m
 	case DocumentsMessage:
 		e.Documents = &m
+	case CrashMessage:
+		e.Crash = &m.Crash
 	}
 	data, err := cbor.Marshal(e)
 	if err != nil {
@@ -102,6 +110,8 @@
 		return e.From, *e.Fetch, nil
 	case e.Documents != nil:
 		return e.From, *e.Documents, nil
+	case e.Crash != nil:
+		return e.From, CrashMessage{*e.Crash}, nil
 	}
 	return prober.Peer{}, nil, fmt.Errorf("decode peer message: no kind is set")
 }
--- a/controller/view.go
+++ b/controller/view.go
@@ -32,6 +32,17 @@
 // Members returns what is known of all other instances.
 func (c *Controller) Members() []prober.News { return c.prober.Members() }
 
+// Live returns the addresses of the live instances, without this one.
+func (c *Controller) Live() map[identifier.Instance]string {
+	live := map[identifier.Instance]string{}
+	for _, news := range c.prober.Members() {
+		if news.Status == prober.Alive || news.Status == prober.Suspect {
+			live[news.Peer.Instance] = news.Peer.Address
+		}
+	}
+	return live
+}
+
 // Peers returns the addresses of all known instances.
 func (c *Controller) Peers() map[identifier.Instance]prober.Peer {
 	peers := map[identifier.Instance]prober.Peer{c.cfg.Self.Instance: c.cfg.Self}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/sender"
 )
 
@@ -22,6 +24,12 @@
 	Send(ctx context.Context, address string, r answerer.Request, f sender.Fencing, maxBody int) answerer.Answer
 }
 
+// Guard learns which requests crash backend servers.
+type Guard interface {
+	Crashed(f quarantiner.Fingerprint)
+	Completed(f quarantiner.Fingerprint)
+}
+
 // View is what the control loop publishes for the request path.
 type View struct {
 	Held     map[identifier.BackendServer]granter.Held
@@ -31,6 +39,7 @@
 // Coordinator runs requests. It is safe for concurrent use.
 type Coordinator struct {
 	sender Sender
+	guard  Guard
 	clock  func() time.Time
 	view   atomic.Pointer[View]
 	loads  *loads
@@ -44,11 +53,21 @@
 type line struct {
 	admitter *admitter.Admitter
 	waiting  map[admitter.ID]chan bool // Receives true to start, false when expired.
+	running  map[admitter.ID]running
+}
+
+// running is a request that the server runs.
+type running struct {
+	key    identifier.Key
+	cancel context.CancelCauseFunc
 }
 
+// errLostKey ends the wait for a server that has lost the key to another one.
+var errLostKey = errors.New("the backend server has lost the key")
+
 // New returns a Coordinator that coordinates nothing yet.
-func New(s Sender, clock func() time.Time) *Coordinator {
-	c := &Coordinator{sender: s, clock: clock, loads: newLoads(), lines: map[identifier.BackendServer]*line{}}
+func New(s Sender, g Guard, clock func() time.Time) *Coordinator {
+	c := &Coordinator{sender: s, guard: g, clock: clock, loads: newLoads(), lines: map[identifier.BackendServer]*line{}}
 	c.view.Store(&View{})
 	return c
 }
@@ -66,6 +85,23 @@
 			delete(c.lines, id)
 		}
 	}
+	for id, l := range c.lines {
+		l.cancelLost(v.Held[id])
+	}
+}
+
+// cancelLost ends the waits for requests whose key another server owns by now: the
+// server's lease is over, and an idempotent request can be sent to the new owner.
+func (l *line) cancelLost(held granter.Held) {
+	if held.Assignment == nil {
+		return
+	}
+	for _, r := range l.running {
+		owner, _, _ := held.Assignment.Owner(held.Assignment.PartitionOf(r.key))
+		if owner != held.Server.ID {
+			r.cancel(errLostKey)
+		}
+	}
 }
 
 func (c *Coordinator) tune(id identifier.BackendServer, held granter.Held, v *View) {
@@ -76,7 +112,7 @@
 	cfg := admitter.Config{Slots: s.Slots, ColdSlots: s.ColdSlots, QueueLength: s.QueueLength}
 	l, ok := c.lines[id]
 	if !ok {
-		l = &line{admitter.New(cfg), map[admitter.ID]chan bool{}}
+		l = &line{admitter.New(cfg), map[admitter.ID]chan bool{}, map[admitter.ID]running{}}
 		c.lines[id] = l
 	}
 	l.admitter.Configure(cfg)
@@ -98,11 +134,31 @@
 	if refusal != nil {
 		return *refusal
 	}
+	ctx, forget := c.watch(ctx, r, id)
 	answer := c.run(ctx, r, deadline)
+	forget()
 	c.done(r.Server, id, resultOf(answer))
 	return answer
 }
 
+// watch lets a running request be ended when its server loses the key.
+func (c *Coordinator) watch(ctx context.Context, r answerer.Request, id admitter.ID) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.lines[r.Server]
+	if !ok {
+		return ctx, func() { cancel(nil) }
+	}
+	l.running[id] = running{r.Key, cancel}
+	return ctx, func() {
+		c.mu.Lock()
+		delete(l.running, id)
+		c.mu.Unlock()
+		cancel(nil)
+	}
+}
+
 // permit is the right to send one request.
 type permit struct {
 	held  granter.Held
@@ -208,7 +264,22 @@
 	}
 	c.loads.count(r.Service, p.grant.Partition)
 	maxBody := c.view.Load().Settings[r.Service].MaxBodyBytes
-	return c.sender.Send(ctx, p.held.Server.Address, r, f, maxBody)
+	answer := c.sender.Send(ctx, p.held.Server.Address, r, f, maxBody)
+	if answer.Outcome == answerer.Unknown && errors.Is(context.Cause(ctx), errLostKey) {
+		return answerer.Doubt(answerer.CodeFenced, errLostKey.Error())
+	}
+	c.learn(r, answer)
+	return answer
+}
+
+// learn takes in whether a request may have crashed its backend server.
+func (c *Coordinator) learn(r answerer.Request, a answerer.Answer) {
+	switch {
+	case a.Outcome == answerer.Ran:
+		c.guard.Completed(quarantiner.FingerprintOf(r))
+	case a.Code == answerer.CodeBackendBroke:
+		c.guard.Crashed(quarantiner.FingerprintOf(r))
+	}
 }
 
 func resultOf(a answerer.Answer) admitter.Result {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,9 +15,14 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/journaler"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/quarantiner"
+	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/router"
+	"github.com/turmericlift/turmericlift/supervisor"
 	"github.com/turmericlift/turmericlift/transporter"
 )
 
@@ -26,10 +31,21 @@
 	Handle(ctx context.Context, r answerer.Request) answerer.Answer
 }
 
+// Recorder sees to it that a request that may not be repeated runs once at most.
+type Recorder interface {
+	Begin(ctx context.Context, r answerer.Request, s configurer.Effective) (journaler.Verdict, recorder.Ticket)
+	End(ctx context.Context, t recorder.Ticket, a answerer.Answer)
+}
+
+// Guard knows the requests that crash backend servers.
+type Guard interface {
+	Blocked(f quarantiner.Fingerprint) bool
+}
+
 // Caller sends a request to another instance. A transporter.UnreachableError says
 // that the other has not got it.
 type Caller interface {
-	Call(ctx context.Context, address string, data []byte) ([]byte, error)
+	Call(ctx context.Context, address string, kind transporter.Kind, data []byte) ([]byte, error)
 }
 
 // View is what the control loop publishes for the request path.
@@ -47,16 +63,18 @@
 
 // Dispatcher takes requests through the system. It is safe for concurrent use.
 type Dispatcher struct {
-	self   prober.Peer
-	local  Coordinator
-	caller Caller
-	clock  func() time.Time
-	view   atomic.Pointer[View]
-	hints  sync.Map // identifier.BackendServer to identifier.Instance, learnt from refusals.
-
-	mu    sync.Mutex
-	pools map[identifier.ServiceName]*pool
-	// Budget of retries per service.
+	self     prober.Peer
+	local    Coordinator
+	recorder Recorder
+	guard    Guard
+	caller   Caller
+	tasks    *supervisor.Group
+	clock    func() time.Time
+	view     atomic.Pointer[View]
+	hints    sync.Map // identifier.BackendServer to identifier.Instance, learnt from refusals.
+
+	mu      sync.Mutex
+	pools   map[identifier.ServiceName]*pool
 	budgets map[identifier.ServiceName]*budget
 }
 
@@ -66,10 +84,21 @@
 	pool *router.Pool
 }
 
+// Parts are what a Dispatcher works with.
+type Parts struct {
+	Self     prober.Peer
+	Local    Coordinator
+	Recorder Recorder
+	Guard    Guard
+	Caller   Caller
+	Tasks    *supervisor.Group // Runs the attempts at pool requests.
+	Clock    func() time.Time
+}
+
 // New returns the Dispatcher of an instance.
-func New(self prober.Peer, local Coordinator, caller Caller, clock func() time.Time) *Dispatcher {
+func New(p Parts) *Dispatcher {
 	d := &Dispatcher{
-		self: self, local: local, caller: caller, clock: clock,
+		self: p.Self, local: p.Local, recorder: p.Recorder, guard: p.Guard, caller: p.Caller, tasks: p.Tasks, clock: p.Clock,
 		pools: map[identifier.ServiceName]*pool{}, budgets: map[identifier.ServiceName]*budget{},
 	}
 	d.view.Store(&View{Table: &router.Table{}})
@@ -88,6 +117,52 @@
 	deadline := d.clock().Add(r.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if d.guard.Blocked(quarantiner.FingerprintOf(r)) {
+		return answerer.Refuse(answerer.CodeQuarantined, "requests like this one have crashed backend servers")
+	}
+	if r.Idempotent {
+		return d.attempts(ctx, r, deadline)
+	}
+	return d.once(ctx, r, deadline)
+}
+
+// once runs a request that may not be repeated, if nobody has run it before.
+func (d *Dispatcher) once(ctx context.Context, r answerer.Request, deadline time.Time) answerer.Answer {
+	s, ok := d.Table().Find(r.Service)
+	if !ok {
+		return answerer.Refuse(answerer.CodeUnknownService, r.Service.String())
+	}
+	verdict, ticket := d.recorder.Begin(ctx, r, s.Settings)
+	if verdict.Decision != journaler.Run {
+		return decided(verdict)
+	}
+	answer := d.attempts(ctx, r, deadline)
+	d.recorder.End(ctx, ticket, answer)
+	return answer
+}
+
+// decided returns the answer to a request that is not run now.
+func decided(v journaler.Verdict) answerer.Answer {
+	switch v.Decision {
+	case journaler.Repeated:
+		return v.Answer
+	case journaler.InDoubt:
+		return answerer.Doubt(answerer.CodeInDoubt, "it may have run before")
+	case journaler.Reused:
+		return answerer.Refuse(answerer.CodeRequestIDReused, "the ID was used for another request")
+	case journaler.Late:
+		return answerer.Refuse(answerer.CodeExpired, "before it was recorded")
+	case journaler.Overfull:
+		return answerer.Refuse(answerer.CodeJournalFull, "send it again later")
+	case journaler.TooOld:
+		return answerer.Doubt(answerer.CodeRequestIDTooOld, "its outcome is not kept any more")
+	case journaler.Run, journaler.Unavailable:
+	}
+	return answerer.Refuse(answerer.CodeNotRecorded, "the platform does not answer")
+}
+
+// attempts runs a request, and again after refusals.
+func (d *Dispatcher) attempts(ctx context.Context, r answerer.Request, deadline time.Time) answerer.Answer {
 	d.budget(r.Service).first()
 	pause := firstPause
 	for {
@@ -191,7 +266,7 @@
 	if err != nil {
 		return answerer.Refuse(answerer.CodeBadRequest, err.Error())
 	}
-	reply, err := d.caller.Call(ctx, peer.Address, data)
+	reply, err := d.caller.Call(ctx, peer.Address, transporter.KindRequest, data)
 	if err != nil {
 		return lost(ctx, err)
 	}
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -84,8 +84,8 @@
 	return (<-results).answer
 }
 
-// start sends an attempt to a server other than those in not. The goroutine that
-// waits for the answer reports it on results, which has room for it.
+// start sends an attempt to a server other than those in not. Its answer comes on
+// results, which has room for it.
 func (d *Dispatcher) start(ctx context.Context, p *pool, r answerer.Request, s *router.Service,
 	deadline time.Time, results chan<- tryResult, not ...identifier.BackendServer) (try, bool) {
 	now := d.clock()
@@ -100,12 +100,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	r.Server = server.ID
-	go func() {
+	d.tasks.Go(func(context.Context) {
 		answer := d.send(ctx, r, server.Coordinator, deadline)
 		p.mu.Lock()
 		p.pool.Ended(d.clock(), server.ID, now, answer.Outcome == answerer.Ran)
 		p.mu.Unlock()
 		results <- tryResult{server.ID, answer}
-	}()
+	})
 	return try{server.ID, cancel}, true
 }
--- a/runner/actions.go
+++ b/runner/actions.go
@@ -13,6 +13,7 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
 	"github.com/turmericlift/turmericlift/storer"
+	"github.com/turmericlift/turmericlift/transporter"
 )
 
 type heldServer = granter.Held
@@ -29,16 +30,18 @@
 )
 
 // perform carries an action out without waiting for its end.
-func (r *Runner) perform(ctx context.Context, action controller.Action) {
+func (r *Runner) perform(action controller.Action) {
 	switch a := action.(type) {
 	case controller.SendMessage:
-		r.task(func() { r.sendMessage(ctx, a) })
+		r.tasks.Go(func(ctx context.Context) { r.sendMessage(ctx, a) })
 	case controller.SendOrder:
-		r.task(func() { r.sendOrder(ctx, a) })
+		r.tasks.Go(func(ctx context.Context) { r.sendOrder(ctx, a) })
 	case controller.WriteObject:
-		r.task(func() { r.write(ctx, a.Object) })
+		r.tasks.Go(func(ctx context.Context) { r.write(ctx, a.Object) })
 	case controller.ReadObject:
-		r.task(func() { r.read(ctx, a.Name) })
+		r.tasks.Go(func(ctx context.Context) { r.read(ctx, a.Name) })
+	case controller.HearCrash:
+		r.guard.hear(a.Crash)
 	case controller.Noted:
 		r.scope.Counter(a.Subject).Inc(1)
 		r.logs.Control.WithField("Detail", a.Detail).Info(a.Subject)
@@ -191,7 +194,10 @@
 }
 
 // HandleRequest answers another instance's request.
-func (h peerHandler) HandleRequest(ctx context.Context, data []byte) []byte {
+func (h peerHandler) HandleRequest(ctx context.Context, kind transporter.Kind, data []byte) []byte {
+	if kind == transporter.KindRecord {
+		return h.r.record.Serve(ctx, data)
+	}
 	return h.r.dispatch.Serve(ctx, data)
 }
 
--- /dev/null
+++ b/runner/guard.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/quarantiner"
+)
+
+// guard shares one Quarantiner between the request path and the control loop. It is
+// safe for concurrent use.
+type guard struct {
+	instance    identifier.Instance
+	incarnation identifier.Incarnation
+	clock       func() time.Time
+	report      func(quarantiner.Crash)
+	empty       atomic.Bool // Spares the request path the lock.
+
+	mu     sync.Mutex
+	quar   *quarantiner.Quarantiner
+	number uint64
+}
+
+func newGuard(i identifier.Instance, inc identifier.Incarnation, clock func() time.Time, report func(quarantiner.Crash)) *guard {
+	g := &guard{instance: i, incarnation: inc, clock: clock, report: report, quar: quarantiner.New()}
+	g.empty.Store(true)
+	return g
+}
+
+// Blocked reports whether requests of a fingerprint are refused now.
+func (g *guard) Blocked(f quarantiner.Fingerprint) bool {
+	if g.empty.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quar.Blocked(g.clock(), f)
+}
+
+// Completed takes in that a request has run to its end.
+func (g *guard) Completed(f quarantiner.Fingerprint) {
+	if g.empty.Load() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quar.Completed(f)
+	g.empty.Store(g.quar.Len() == 0)
+}
+
+// Crashed takes in a crash that this instance has seen, and reports it to the others.
+func (g *guard) Crashed(f quarantiner.Fingerprint) {
+	g.mu.Lock()
+	g.number++
+	c := quarantiner.Crash{Fingerprint: f, Run: quarantiner.Run{Instance: g.instance, Incarnation: g.incarnation, Number: g.number}}
+	g.mu.Unlock()
+	g.hear(c)
+	g.report(c)
+}
+
+// hear takes in a crash, whoever saw it.
+func (g *guard) hear(c quarantiner.Crash) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quar.Crashed(g.clock(), c)
+	g.empty.Store(false)
+}
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/router"
 )
 
@@ -39,6 +41,32 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+// serveOutcome tells a caller what has become of a request, by its Idempotency-Key.
+func (r *Runner) serveOutcome(w http.ResponseWriter, req *http.Request) {
+	name := serviceName(req)
+	s, ok := r.dispatch.Table().Find(name)
+	if !ok {
+		http.Error(w, answerer.CodeUnknownService.String(), http.StatusNotFound)
+		return
+	}
+	found, err := r.record.Find(req.Context(), name, identifier.RequestID(req.PathValue("id")), s.Settings)
+	switch {
+	case errors.Is(err, recorder.ErrNotRecorded):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, answerer.CodePlatformDown.String(), http.StatusServiceUnavailable)
+	default:
+		serveJSON(w, found)
+	}
+}
+
+func serviceName(req *http.Request) identifier.ServiceName {
+	return identifier.ServiceName{
+		Organisation: identifier.Organisation(req.PathValue("organisation")),
+		Service:      identifier.Service(req.PathValue("service")),
+	}
+}
+
 // Dump is a view of an instance's whole state.
 type Dump struct {
 	controller.Dump
@@ -62,11 +90,7 @@
 }
 
 func (r *Runner) serveWhere(w http.ResponseWriter, req *http.Request) {
-	name := identifier.ServiceName{
-		Organisation: identifier.Organisation(req.PathValue("organisation")),
-		Service:      identifier.Service(req.PathValue("service")),
-	}
-	s, ok := r.dispatch.Table().Find(name)
+	s, ok := r.dispatch.Table().Find(serviceName(req))
 	if !ok {
 		http.Error(w, answerer.CodeUnknownService.String(), http.StatusNotFound)
 		return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +17,12 @@
 	"github.com/turmericlift/turmericlift/dispatcher"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/receiver"
+	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/sender"
 	"github.com/turmericlift/turmericlift/storer"
+	"github.com/turmericlift/turmericlift/supervisor"
 	"github.com/turmericlift/turmericlift/transporter"
 )
 
@@ -50,6 +52,8 @@
 	transport *transporter.Transport
 	sender    *sender.Sender
 	coord     *coordinator.Coordinator
+	record    *recorder.Recorder
+	guard     *guard
 	dispatch  *dispatcher.Dispatcher
 	ctl       *controller.Controller
 
@@ -62,7 +66,9 @@
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	revision atomic.Uint64
-	tasks    sync.WaitGroup
+	tasks    *supervisor.Group
+	stop     context.CancelFunc // Ends the parts, once the shutdown is over.
+	parts    context.Context
 	done     chan error
 }
 
@@ -88,9 +94,20 @@
 	}
 	self := prober.Peer{Instance: cfg.Instance, Zone: cfg.Zone, Address: r.transport.Address()}
 	incarnation := identifier.Incarnation(now.UnixMilli())
+	// The parts do not end with Run's context: a graceful shutdown still needs them.
+	r.parts, r.stop = context.WithCancel(context.Background())
+	r.tasks = supervisor.New(r.parts)
 	r.ctl = controller.New(now, controller.DefaultConfig(self, incarnation))
-	r.coord = coordinator.New(r.sender, time.Now)
-	r.dispatch = dispatcher.New(self, r.coord, r.transport, time.Now)
+	r.guard = newGuard(cfg.Instance, incarnation, time.Now, func(c quarantiner.Crash) {
+		r.submit(r.parts, controller.CrashSeen{Crash: c})
+	})
+	// Journals have a budget of their own, so that requests never starve control.
+	journals := storer.New(cfg.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, cfg.PlatformBudget, cfg.PlatformTimeout)
+	r.record = recorder.New(cfg.Instance, incarnation, journals, r.transport, r.tasks, time.Now)
+	r.coord = coordinator.New(r.sender, r.guard, time.Now)
+	r.dispatch = dispatcher.New(dispatcher.Parts{
+		Self: self, Local: r.coord, Recorder: r.record, Guard: r.guard, Caller: r.transport, Tasks: r.tasks, Clock: time.Now,
+	})
 	return r, r.listen()
 }
 
@@ -104,6 +121,7 @@
 	}
 	callers := http.NewServeMux()
 	callers.HandleFunc("GET /ready", r.serveReady)
+	callers.HandleFunc("GET /turmericlift/outcomes/{organisation}/{service}/{id...}", r.serveOutcome)
 	callers.Handle("/", receiver.New(r.dispatch, r, time.Now))
 	r.callers = &http.Server{Handler: callers, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
 	r.operators = &http.Server{Handler: r.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}
@@ -125,20 +143,13 @@
 // Run runs the instance until ctx ends, then shuts it down gracefully, and reports
 // its end on Done.
 func (r *Runner) Run(ctx context.Context) {
-	// The parts outlive ctx: a graceful shutdown still needs them.
-	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go r.transport.Run(parts)
+	go r.transport.Run(r.parts)
 	ended := make(chan error, 2)
 	go func() { ended <- r.callers.Serve(r.listeners[0]) }()
 	go func() { ended <- r.operators.Serve(r.listeners[1]) }()
-	r.task(func() { r.watchLoop(parts) })
-	r.task(func() { r.listLoop(parts) })
-	loop := make(chan struct{})
-	go func() {
-		defer close(loop)
-		r.loop(parts)
-	}()
+	r.tasks.Go(r.watchLoop)
+	r.tasks.Go(r.listLoop)
+	r.tasks.Go(r.loop)
 
 	var failure error
 	select {
@@ -146,24 +157,14 @@
 	case failure = <-ended:
 	}
 	err := errors.Join(failure, r.shutdown(ctx))
-	stop()
-	<-loop
-	r.tasks.Wait()
+	r.stop()
+	r.tasks.Close()
 	if transportErr := <-r.transport.Done(); transportErr != nil {
 		r.logs.Control.WithError(transportErr).Debug("transport ended")
 	}
 	r.done <- err
 }
 
-// task runs a goroutine whose end Run waits for.
-func (r *Runner) task(fn func()) {
-	r.tasks.Add(1)
-	go func() {
-		defer r.tasks.Done()
-		fn()
-	}()
-}
-
 // shutdown takes the instance out of service without cutting a request: it is not
 // ready any more, goes on accepting until the balancer has had time to see that,
 // hands its backend servers over, and lets requests end.
@@ -246,6 +247,7 @@
 		case <-tick.C:
 			actions = r.ctl.Step(time.Now(), controller.Tick{})
 			r.coord.Expire()
+			r.record.Tick()
 		case <-loads.C:
 			actions = r.measure()
 		case fn := <-r.inspect:
@@ -254,7 +256,7 @@
 		}
 		published = r.publish(published)
 		for _, a := range actions {
-			r.perform(ctx, a)
+			r.perform(a)
 		}
 	}
 }
@@ -275,6 +277,7 @@
 	if edit != published {
 		table := r.ctl.Table()
 		r.dispatch.Publish(&dispatcher.View{Table: table, Peers: r.ctl.Peers()})
+		r.record.Publish(&recorder.View{Live: r.ctl.Live()})
 		r.dropDead()
 	}
 	view := &coordinator.View{Held: map[identifier.BackendServer]heldServer{}, Settings: r.settings()}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"github.com/turmericlift/turmericlift/supervisor"
 )
 
 const (
@@ -35,9 +37,18 @@
 	// HandleMessage takes in a control message.
 	HandleMessage(data []byte)
 	// HandleRequest answers a request. ctx ends when the peer gives it up.
-	HandleRequest(ctx context.Context, data []byte) []byte
+	HandleRequest(ctx context.Context, kind Kind, data []byte) []byte
 }
 
+// Kind says what a request is; it is the first byte on its stream.
+type Kind byte
+
+// The kinds of requests.
+const (
+	KindRequest Kind = 1 // A caller's request on its way to a coordinator.
+	KindRecord  Kind = 2 // A call of a journal's keeper.
+)
+
 // UnreachableError reports that nothing was sent to a peer.
 type UnreachableError struct {
 	Address string
@@ -61,7 +72,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	wg    sync.WaitGroup
+	tasks *supervisor.Group // Set by Run.
 	done  chan error
 }
 
@@ -109,32 +120,25 @@
 
 // Run accepts connections until ctx ends, and reports its end on Done.
 func (t *Transport) Run(ctx context.Context) {
+	t.tasks = supervisor.New(ctx)
 	for {
 		conn, err := t.listener.Accept(ctx)
 		if err != nil {
 			break
 		}
-		t.serve(ctx, conn)
+		t.serve(conn)
 	}
 	_ = t.listener.Close()
 	err := t.quic.Close()
-	t.wg.Wait()
+	t.tasks.Close()
 	_ = t.quic.Conn.Close()
 	t.done <- err
 }
 
-// serve reads both kinds of streams of a connection. The two goroutines end with
-// the connection; Run waits for them.
-func (t *Transport) serve(ctx context.Context, conn *quic.Conn) {
-	t.wg.Add(2)
-	go func() {
-		defer t.wg.Done()
-		t.acceptMessages(ctx, conn)
-	}()
-	go func() {
-		defer t.wg.Done()
-		t.acceptRequests(ctx, conn)
-	}()
+// serve reads both kinds of streams of a connection until it ends.
+func (t *Transport) serve(conn *quic.Conn) {
+	t.tasks.Go(func(ctx context.Context) { t.acceptMessages(ctx, conn) })
+	t.tasks.Go(func(ctx context.Context) { t.acceptRequests(ctx, conn) })
 }
 
 func (t *Transport) acceptMessages(ctx context.Context, conn *quic.Conn) {
@@ -143,13 +147,11 @@
 		if err != nil {
 			return
 		}
-		t.wg.Add(1)
-		go func() {
-			defer t.wg.Done()
+		t.tasks.Go(func(context.Context) {
 			if data, err := readAll(stream); err == nil {
 				t.handler.HandleMessage(data)
 			}
-		}()
+		})
 	}
 }
 
@@ -159,22 +161,18 @@
 		if err != nil {
 			return
 		}
-		t.wg.Add(1)
-		go func() {
-			defer t.wg.Done()
-			t.answer(stream)
-		}()
+		t.tasks.Go(func(context.Context) { t.answer(stream) })
 	}
 }
 
 func (t *Transport) answer(stream *quic.Stream) {
 	data, err := readAll(stream)
-	if err != nil {
+	if err != nil || len(data) == 0 {
 		stream.CancelWrite(0)
 		return
 	}
 	// The stream's context ends when the peer stops reading its answer.
-	reply := t.handler.HandleRequest(stream.Context(), data)
+	reply := t.handler.HandleRequest(stream.Context(), Kind(data[0]), data[1:])
 	if _, err := stream.Write(reply); err != nil {
 		stream.CancelWrite(0)
 		return
@@ -211,7 +209,7 @@
 
 // Call sends a request and returns its answer. An UnreachableError says that the
 // peer has not got it; any other error leaves that open.
-func (t *Transport) Call(ctx context.Context, address string, data []byte) ([]byte, error) {
+func (t *Transport) Call(ctx context.Context, address string, kind Kind, data []byte) ([]byte, error) {
 	conn, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, err
@@ -225,7 +223,7 @@
 		stream.CancelWrite(0)
 	})
 	defer stop()
-	if _, err := stream.Write(data); err != nil {
+	if _, err := stream.Write(append([]byte{byte(kind)}, data...)); err != nil {
 		return nil, fmt.Errorf("call %s: %w", address, err)
 	}
 	if err := stream.Close(); err != nil {
