--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -234,18 +234,18 @@
 	return from, p.leastLoaded()
 }
 
-// best returns the heaviest partition of a server that leaves the receiver with no
-// more than the server had over the mean: a hotter one would only move the peak.
+// best returns the partition of a server whose move leaves the lower peak of the two
+// servers, if that is lower than the present one.
 func (p *planner) best(from identifier.BackendServer, to Candidate, moved map[identifier.Partition]bool) (identifier.Partition, bool) {
-	room := min(p.load[from]-p.mean, p.bound(to)-p.load[to.ID])
 	best, found := identifier.Partition(0), false
+	lowest := p.load[from]
 	p.assignment.OwnedBy(from, func(part identifier.Partition, _ identifier.Epoch) {
 		w := p.weights[part]
-		if moved[part] || w <= 0 || w > room {
+		if moved[part] || w <= 0 || to.Cold && p.load[to.ID]+w > p.bound(to) {
 			return
 		}
-		if !found || w > p.weights[best] {
-			best, found = part, true
+		if peak := max(p.load[from]-w, p.load[to.ID]+w); peak < lowest {
+			best, found, lowest = part, true, peak
 		}
 	})
 	return best, found
--- /dev/null
+++ b/assigner/planner_test.go
@@ -0,0 +1,219 @@
+package assigner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/partitioner"
+)
+
+// The bounds that the users' issue states.
+const (
+	boundImbalance = 1.15
+	boundChurn     = 1.2
+)
+
+func candidates(n int) []Candidate {
+	all := make([]Candidate, n)
+	for i := range all {
+		all[i] = Candidate{Server: partitioner.Server{ID: identifier.BackendServer(fmt.Sprintf("server-%03d", i)), Zone: "zone-0"}, Receive: true}
+	}
+	return all
+}
+
+// zipf spreads a load of 1 over keys by Zipf's law and adds it up per partition.
+func zipf(partitions, keys int, exponent float64, seed uint64) Weights {
+	r := rand.New(rand.NewPCG(seed, seed))
+	w := Weights{Of: make([]float64, partitions)}
+	for k := range keys {
+		w.Of[r.IntN(partitions)] += 1 / math.Pow(float64(k+1), exponent)
+	}
+	return w
+}
+
+func place(t testing.TB, partitions int, w Weights, servers []Candidate) *partitioner.Assignment {
+	t.Helper()
+	a, err := partitioner.New(partitions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range Decide(a, w, servers, 0).Evacuations {
+		if err := a.Place(m.Partition, m.To); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return a
+}
+
+// carry applies a plan at once and returns the number of moves.
+func carry(t testing.TB, a *partitioner.Assignment, moves []Move) int {
+	t.Helper()
+	for _, m := range moves {
+		if err := a.Mark(m.Partition, m.To); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.Commit(m.Partition); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return len(moves)
+}
+
+func imbalance(a *partitioner.Assignment, w Weights, servers int) float64 {
+	load := map[identifier.BackendServer]float64{}
+	total, most := 0.0, 0.0
+	for p := range a.Len() {
+		owner, _, _ := a.Owner(identifier.Partition(p))
+		load[owner] += w.Of[p]
+		total += w.Of[p]
+		most = max(most, load[owner])
+	}
+	return most / (total / float64(servers))
+}
+
+// settle balances until the plan is empty, and returns the number of moves.
+func settle(t testing.TB, a *partitioner.Assignment, w Weights, servers []Candidate) int {
+	t.Helper()
+	moves := 0
+	for range 1000 {
+		n := carry(t, a, Decide(a, w, servers, 4).Balances)
+		if n == 0 {
+			return moves
+		}
+		moves += n
+	}
+	t.Fatal("the balance does not come to rest")
+	return moves
+}
+
+// TestBalance loads services by Zipf's law, where no single partition prevents
+// balance, and checks the imbalance that is left.
+func TestBalance(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ partitions, servers int }{{256, 20}, {256, 30}, {1024, 60}} {
+		for seed := range uint64(20) {
+			w := zipf(size.partitions, 100000, 1.0, seed)
+			servers := candidates(size.servers)
+			a := place(t, size.partitions, Weights{Of: ones(size.partitions)}, servers)
+			before := imbalance(a, w, size.servers)
+			moves := settle(t, a, w, servers)
+			least := leastImbalance(w, size.servers)
+			if got := imbalance(a, w, size.servers); got > max(boundImbalance, least) {
+				t.Errorf("%v, seed %d: imbalance %.3f after %d moves, %.3f before; bound %.2f, no assignment is under %.3f",
+					size, seed, got, moves, before, boundImbalance, least)
+			}
+		}
+	}
+}
+
+// leastImbalance is what the heaviest partition alone makes unavoidable.
+func leastImbalance(w Weights, servers int) float64 {
+	total, most := 0.0, 0.0
+	for _, x := range w.Of {
+		total += x
+		most = max(most, x)
+	}
+	return most / (total / float64(servers))
+}
+
+func ones(n int) []float64 {
+	w := make([]float64, n)
+	for p := range w {
+		w[p] = 1
+	}
+	return w
+}
+
+// TestChurn takes one server away and checks that little more moves than must, and
+// that what moves is spread over all that are left.
+func TestChurn(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		servers := candidates(rapid.IntRange(5, 40).Draw(t, "Servers"))
+		partitions := 256
+		a := partitionerFor(t, partitions, servers)
+		lost := rapid.IntRange(0, len(servers)-1).Draw(t, "Lost")
+		owned := 0
+		a.OwnedBy(servers[lost].ID, func(identifier.Partition, identifier.Epoch) { owned++ })
+		servers[lost].Evacuate = true
+		w := Weights{Of: ones(partitions)}
+		plan := Decide(a, w, servers, 100)
+		receivers := map[identifier.BackendServer]int{}
+		for _, m := range plan.Evacuations {
+			receivers[m.To.ID]++
+		}
+		if n := len(plan.Evacuations) + len(plan.Balances); float64(n) > boundChurn*float64(owned) {
+			t.Fatalf("%d moves, the least is %d", n, owned)
+		}
+		for id, n := range receivers {
+			if n > max(2, owned/2) {
+				t.Fatalf("%s receives %d of %d partitions", id, n, owned)
+			}
+		}
+	})
+}
+
+func partitionerFor(t *rapid.T, partitions int, servers []Candidate) *partitioner.Assignment {
+	a, err := partitioner.New(partitions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range Decide(a, Weights{Of: ones(partitions)}, servers, 0).Evacuations {
+		if err := a.Place(m.Partition, m.To); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return a
+}
+
+// TestQuietServiceRests checks that the chance in a few measured requests moves
+// nothing.
+func TestQuietServiceRests(t *testing.T) {
+	t.Parallel()
+	servers := candidates(6)
+	a := place(t, 64, Weights{Of: ones(64)}, servers)
+	r := rand.New(rand.NewPCG(1, 1))
+	w := Weights{Of: ones(64), Measured: true}
+	for p := range w.Of {
+		w.Of[p] = 0.05 + float64(r.IntN(2))/5
+	}
+	if moves := Decide(a, w, servers, 100).Balances; len(moves) > 0 {
+		t.Errorf("%d moves on a load of a few requests a second", len(moves))
+	}
+}
+
+// TestColdServersAreSpared checks that a cold server is given a small share only.
+func TestColdServersAreSpared(t *testing.T) {
+	t.Parallel()
+	servers := candidates(5)
+	a := place(t, 256, Weights{Of: ones(256)}, servers[:4])
+	servers[4].Cold = true
+	servers[0].Evacuate = true
+	w := Weights{Of: ones(256)}
+	carry(t, a, Decide(a, w, servers, 100).Evacuations)
+	cold := 0
+	a.OwnedBy(servers[4].ID, func(identifier.Partition, identifier.Epoch) { cold++ })
+	if most := int(coldShare * 256 / 4); cold == 0 || cold > most {
+		t.Errorf("the cold server owns %d partitions, want 1 to %d", cold, most)
+	}
+}
+
+// BenchmarkDecide measures a plan after the loss of one server.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ partitions, servers int }{{256, 20}, {4096, 120}, {65536, 1800}} {
+		b.Run(fmt.Sprintf("%dx%d", size.partitions, size.servers), func(b *testing.B) {
+			servers := candidates(size.servers)
+			w := Weights{Of: ones(size.partitions)}
+			a := place(b, size.partitions, w, servers)
+			servers[1].Evacuate = true
+			for b.Loop() {
+				Decide(a, w, servers, 4)
+			}
+		})
+	}
+}
--- a/configurer/tree.go
+++ b/configurer/tree.go
@@ -20,6 +20,24 @@
 	Organisation identifier.Organisation
 	Values       Values
 	Services     map[identifier.Service]*Service `json:",omitempty"`
+	// History holds the last changes, the newest first.
+	History []Change `json:",omitempty"`
+}
+
+// Change says who has changed what, and when.
+type Change struct {
+	At       time.Time
+	Operator string
+	What     string
+}
+
+// maxHistory bounds the changes that a tree remembers.
+const maxHistory = 20
+
+// Note puts a change at the head of the history.
+func (t *Tree) Note(c Change) {
+	t.History = slices.Insert(t.History, 0, c)
+	t.History = t.History[:min(len(t.History), maxHistory)]
 }
 
 // Service is the level of one service.
@@ -269,11 +287,7 @@
 
 // Set names a setting at a level.
 func (t *Tree) Set(p Path, field, value string) error {
-	f, err := FieldByName(field)
-	if err != nil {
-		return err
-	}
-	if err := f.set(t.level(p), value); err != nil {
+	if err := t.SetUnchecked(p, field, value); err != nil {
 		return err
 	}
 	return t.Check()
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,12 @@
 	firstSeed = flag.Int("first-seed", 1, "seed of the first fault schedule")
 )
 
+// TestMain lets the garbage wait: the worlds are small and many.
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(400)
+	os.Exit(m.Run())
+}
+
 // fault is one fault of a schedule. Target picks an instance, server or zone.
 type fault struct {
 	Kind   string
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -68,6 +68,7 @@
 	peer     prober.Peer
 	ctl      *Controller
 	versions map[string]identifier.Version // Of the objects that the process goes by.
+	edit     uint64
 }
 
 type worldServer struct {
@@ -388,6 +389,10 @@
 
 // checkVersions checks that no object that an instance goes by has gone back.
 func (w *world) checkVersions(i *worldInstance) {
+	if i.edit == i.ctl.Edit() {
+		return
+	}
+	i.edit = i.ctl.Edit()
 	for name, o := range i.ctl.objects {
 		if o.Version < i.versions[name] {
 			w.fail("%s: %s went back from version %d to %d", i.peer.Instance, name, i.versions[name], o.Version)
--- /dev/null
+++ b/operator/instances.go
@@ -0,0 +1,283 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/dghubble/sling"
+
+	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/controller"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/runner"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// ask calls an instance's operators' interface and reads its JSON answer.
+func (c *console) ask(ctx context.Context, instance, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := sling.New().Base(strings.TrimSuffix(instance, "/")+"/").Get(path).Set("Authorization", "Bearer "+c.token).Request()
+	if err != nil {
+		return fmt.Errorf("instance %s: %w", instance, err)
+	}
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return fmt.Errorf("instance %s: %w", instance, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("instance %s: status %s", instance, resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return fmt.Errorf("instance %s: answer does not decode: %w", instance, err)
+	}
+	return nil
+}
+
+var errNoInstances = errors.New("--instances (TURMERICLIFT_INSTANCES) names no instance")
+
+// dumps returns the state of each instance that the command line names.
+func (c *console) dumps(ctx context.Context) ([]runner.Dump, error) {
+	if len(c.instances) == 0 {
+		return nil, errNoInstances
+	}
+	dumps := make([]runner.Dump, len(c.instances))
+	for n, instance := range c.instances {
+		if err := c.ask(ctx, instance, "dump", &dumps[n]); err != nil {
+			return nil, err
+		}
+	}
+	return dumps, nil
+}
+
+func setUpDump(*kingpin.CmdClause) func(context.Context, *console) error {
+	return func(ctx context.Context, con *console) error {
+		dumps, err := con.dumps(ctx)
+		if err != nil {
+			return err
+		}
+		con.output = "json"
+		return con.print(dumps, "", nil)
+	}
+}
+
+// Status is what turmericctl status prints.
+type Status struct {
+	Instances []InstanceStatus
+	Servers   []ServerStatus
+	Services  []controller.DumpService
+}
+
+// InstanceStatus is the state of one instance.
+type InstanceStatus struct {
+	Instance    identifier.Instance
+	Zone        identifier.Zone
+	State       string
+	Revision    identifier.Version
+	Sees        int // Live instances, itself included.
+	Coordinates int // Backend servers.
+	ZoneState   configurer.ZoneState
+}
+
+// ServerStatus is the state of one backend server.
+type ServerStatus struct {
+	controller.DumpServer
+	Coordinator identifier.Instance
+	Limit       float64
+	Running     int
+	Queued      int
+}
+
+func setUpStatus(*kingpin.CmdClause) func(context.Context, *console) error {
+	return func(ctx context.Context, con *console) error {
+		dumps, err := con.dumps(ctx)
+		if err != nil {
+			return err
+		}
+		return con.printStatus(statusOf(dumps))
+	}
+}
+
+func statusOf(dumps []runner.Dump) Status {
+	var s Status
+	for _, d := range dumps {
+		s.Instances = append(s.Instances, instanceStatus(d))
+		for _, server := range d.Coordinates {
+			line := d.Lines[server.Server]
+			s.Servers = append(s.Servers, ServerStatus{server, d.Instance, line.Limit, line.Running, line.Queued})
+		}
+		if len(d.Services) > len(s.Services) {
+			s.Services = d.Services
+		}
+	}
+	return s
+}
+
+func instanceStatus(d runner.Dump) InstanceStatus {
+	state := "Ready"
+	switch {
+	case d.Leaving:
+		state = "Leaving"
+	case !d.Ready:
+		state = "Starting"
+	}
+	sees := 1
+	for _, m := range d.Members {
+		if m.Status == "Alive" || m.Status == "Suspect" {
+			sees++
+		}
+	}
+	zone, ok := d.Zones[d.Zone]
+	if !ok {
+		zone = configurer.ZoneIn
+	}
+	return InstanceStatus{d.Instance, d.Zone, state, d.Revision, sees, len(d.Coordinates), zone}
+}
+
+func (c *console) printStatus(s Status) error {
+	if c.output == "json" {
+		return c.print(s, "", nil)
+	}
+	var rows [][]string
+	for _, i := range s.Instances {
+		rows = append(rows, []string{string(i.Instance), string(i.Zone), string(i.ZoneState), i.State,
+			fmt.Sprint(i.Revision), fmt.Sprint(i.Sees), fmt.Sprint(i.Coordinates)})
+	}
+	if err := c.print(nil, "Instance Zone ZoneState State Revision Sees Coordinates", rows); err != nil {
+		return err
+	}
+	rows = nil
+	for _, b := range s.Servers {
+		rows = append(rows, []string{string(b.Server), string(b.Coordinator), fmt.Sprint(b.Term), string(b.State),
+			fmt.Sprintf("%.1f", b.Limit), fmt.Sprint(b.Running), fmt.Sprint(b.Queued), fmt.Sprint(b.SilentMs)})
+	}
+	fmt.Fprintln(c.out)
+	if err := c.print(nil, "BackendServer Coordinator Term State Limit Running Queued SilentMs", rows); err != nil {
+		return err
+	}
+	rows = nil
+	for _, d := range s.Services {
+		rows = append(rows, []string{d.Service.String(), string(d.Assigner), fmt.Sprint(d.Version),
+			fmt.Sprint(d.Partitions), fmt.Sprint(len(d.Moving)), fmt.Sprint(d.Pins)})
+	}
+	fmt.Fprintln(c.out)
+	return c.print(nil, "Service Assigner Version Partitions Moving Pins", rows)
+}
+
+func setUpWhere(c *kingpin.CmdClause) func(context.Context, *console) error {
+	organisation := c.Arg("organisation", "Name of the organisation.").Required().String()
+	service := c.Arg("service", "Name of the service.").Required().String()
+	key := c.Arg("key", "The key.").Required().String()
+	return func(ctx context.Context, con *console) error {
+		if len(con.instances) == 0 {
+			return errNoInstances
+		}
+		var where runner.Where
+		path := "where/" + url.PathEscape(*organisation) + "/" + url.PathEscape(*service) + "/" + url.PathEscape(*key)
+		if err := con.ask(ctx, con.instances[0], path, &where); err != nil {
+			return err
+		}
+		return con.print(where, "Partition Epoch BackendServer Coordinator MovingTo Code", [][]string{{
+			fmt.Sprint(where.Partition), fmt.Sprint(where.Epoch), string(where.Server), string(where.Coordinator), string(where.Next), where.Code,
+		}})
+	}
+}
+
+func setUpZone(state configurer.ZoneState) func(*kingpin.CmdClause) func(context.Context, *console) error {
+	return func(c *kingpin.CmdClause) func(context.Context, *console) error {
+		zone := c.Arg("zone", "Name of the availability zone.").Required().String()
+		yes := c.Flag("yes", "Do it; without, only show what will move.").Bool()
+		return func(ctx context.Context, con *console) error {
+			if err := identifier.CheckName("Zone", *zone); err != nil {
+				return err
+			}
+			if !*yes {
+				return con.preview(ctx, identifier.Zone(*zone), state)
+			}
+			return con.setZone(ctx, identifier.Zone(*zone), state)
+		}
+	}
+}
+
+// preview shows the backend servers whose partitions a change of a zone concerns.
+func (c *console) preview(ctx context.Context, z identifier.Zone, state configurer.ZoneState) error {
+	list, err := c.store().Instances(ctx)
+	if err != nil {
+		return err
+	}
+	owned := map[string]int{}
+	if dumps, err := c.dumps(ctx); err == nil {
+		for _, s := range dumps[0].Services {
+			for b, n := range s.Owned {
+				owned[string(b)] += n
+			}
+		}
+	}
+	var rows [][]string
+	for _, l := range list {
+		if l.Zone == z && l.Kind == storer.KindBackendServer {
+			rows = append(rows, []string{l.ID, string(l.Organisation) + "/" + string(l.Service), fmt.Sprint(owned[l.ID])})
+		}
+	}
+	if err := c.print(rows, "BackendServer Service Partitions", rows); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "zone %s would become %s; add --yes to do it\n", z, state)
+	return nil
+}
+
+func (c *console) setZone(ctx context.Context, z identifier.Zone, state configurer.ZoneState) error {
+	object, err := c.store().Read(ctx, controller.ZonesName)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	zones := configurer.Zones{}
+	if object.Version > 0 {
+		if zones, err = configurer.DecodeZones(object.Data); err != nil {
+			return err
+		}
+	}
+	data, err := zones.Set(z, state).Encode()
+	if err != nil {
+		return err
+	}
+	return c.write(ctx, controller.ZonesName, object.Version, data)
+}
+
+func setUpDrain(drained bool) func(*kingpin.CmdClause) func(context.Context, *console) error {
+	return func(c *kingpin.CmdClause) func(context.Context, *console) error {
+		level := c.Arg("service", "organisation/service").Required().String()
+		server := c.Arg("server", "Name of the backend server.").Required().String()
+		return func(ctx context.Context, con *console) error {
+			path, err := parsePath(*level)
+			if err != nil {
+				return err
+			}
+			what := fmt.Sprintf("drain %s=%t", *server, drained)
+			return con.change(ctx, path.Organisation, what, func(t *configurer.Tree) error {
+				return t.Drain(path.Service, identifier.BackendServer(*server), drained)
+			})
+		}
+	}
+}
+
+func setUpPin(c *kingpin.CmdClause) func(context.Context, *console) error {
+	level := c.Arg("service", "organisation/service").Required().String()
+	key := c.Arg("key", "The hot key.").Required().String()
+	return func(ctx context.Context, con *console) error {
+		path, err := parsePath(*level)
+		if err != nil {
+			return err
+		}
+		return con.change(ctx, path.Organisation, "pin "+*key, func(t *configurer.Tree) error {
+			return t.Pin(path.Service, identifier.Key(*key))
+		})
+	}
+}
