granter: a guest of a zone leaves when the zone has instances of its own

Cause: at start every zone's roster is empty, so instances of other zones joined, ranked first for some servers and kept them; turmericctl status showed one instance with 14 of 64 servers. Change: natives rank before guests, and a guest waits 3 s before it joins. The routing table ranks by the same function.

--- a/controller/view.go
+++ b/controller/view.go
@@ -8,7 +8,6 @@
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
-	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/router"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -65,6 +64,7 @@
 		}
 	}
 	live := c.prober.Live()
+	live[c.cfg.Self.Instance] = c.cfg.Self.Zone
 	for _, l := range c.listed {
 		if l.Kind == storer.KindBackendServer {
 			c.addServer(t, live, l)
@@ -97,12 +97,6 @@
 
 // coordinator returns the instance that ranks first to coordinate a server.
 func (c *Controller) coordinator(b identifier.BackendServer, z identifier.Zone, live map[identifier.Instance]identifier.Zone) identifier.Instance {
-	var candidates []identifier.Instance
-	for _, i := range c.rosters[z].Active() {
-		if _, ok := live[i]; ok || i == c.cfg.Self.Instance {
-			candidates = append(candidates, i)
-		}
-	}
-	top, _ := ranker.Top(string(b), candidates)
+	top, _ := granter.Rank(b, z, c.rosters[z], live)
 	return top
 }
--- a/granter/enrol.go
+++ b/granter/enrol.go
@@ -45,7 +45,7 @@
 func (g *Granter) amend(now time.Time, z identifier.Zone, r *Roster) bool {
 	changed := g.removeFormer(now, r)
 	_, enrolled := r.Find(g.cfg.Self, g.cfg.Incarnation)
-	wanted := g.wanted(z, r)
+	wanted := g.wanted(now, z, r)
 	switch {
 	case enrolled && !r.May(g.cfg.Self, g.cfg.Incarnation):
 		// Fenced: leave once nothing is in force, and enrol anew if still wanted.
@@ -78,26 +78,31 @@
 }
 
 // wanted reports whether this process should be on the roster of a zone.
-func (g *Granter) wanted(z identifier.Zone, r *Roster) bool {
+func (g *Granter) wanted(now time.Time, z identifier.Zone, r *Roster) bool {
 	if g.stopping || g.lost[z] {
 		return false
 	}
 	if z == g.cfg.Zone {
 		return true
 	}
-	if !g.hasServers(z) {
-		return false
-	}
-	var natives []identifier.Instance
+	return g.hasServers(z) && g.vacant(now, z, r) && g.firstFor(z)
+}
+
+// vacant reports whether a zone has had no granter of its own for guestAfter. An
+// instance that is not known to be of another zone counts as one of this zone.
+func (g *Granter) vacant(now time.Time, z identifier.Zone, r *Roster) bool {
 	for _, i := range r.Active() {
 		if zone, ok := g.live[i]; i != g.cfg.Self && (!ok || zone == z) {
-			natives = append(natives, i)
+			delete(g.vacantSince, z)
+			return false
 		}
 	}
-	if len(natives) > 0 {
+	since, known := g.vacantSince[z]
+	if !known {
+		g.vacantSince[z] = now
 		return false
 	}
-	return g.firstFor(z)
+	return now.Sub(since) >= guestAfter
 }
 
 func (g *Granter) hasServers(z identifier.Zone) bool {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -9,6 +9,7 @@
 package granter
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -50,6 +51,10 @@
 // coordinates or that does not answer.
 const askAgain = 250 * time.Millisecond
 
+// guestAfter is how long a zone has no granter of its own before an instance of
+// another zone stands in.
+const guestAfter = 3 * time.Second
+
 // drainPoll is the time between two orders while revoked requests still run.
 const drainPoll = 50 * time.Millisecond
 
@@ -81,6 +86,7 @@
 	confirmAt   time.Time
 	reportAt    time.Time
 	rosterAt    map[identifier.Zone]time.Time
+	vacantSince map[identifier.Zone]time.Time // Since when a zone has no granter of its own.
 	lost        map[identifier.Zone]bool
 	stopping    bool
 }
@@ -97,6 +103,7 @@
 		servers:     map[identifier.BackendServer]*coordination{},
 		loads:       map[identifier.ServiceName][]PartitionLoad{},
 		rosterAt:    map[identifier.Zone]time.Time{},
+		vacantSince: map[identifier.Zone]time.Time{},
 	}
 }
 
@@ -251,14 +258,32 @@
 
 // top returns the instance that should coordinate a server.
 func (g *Granter) top(c *coordination) (identifier.Instance, bool) {
-	var candidates []identifier.Instance
-	for _, i := range g.rosters[c.info.Zone].roster.Active() {
-		_, live := g.live[i]
-		if live && i != g.cfg.Self || i == g.cfg.Self && !g.stopping {
-			candidates = append(candidates, i)
+	live := maps.Clone(g.live)
+	delete(live, g.cfg.Self)
+	if !g.stopping {
+		live[g.cfg.Self] = g.cfg.Zone
+	}
+	return Rank(c.info.ID, c.info.Zone, g.rosters[c.info.Zone].roster, live)
+}
+
+// Rank returns the instance that should coordinate a server of a zone: among the
+// live ones on the zone's roster, those of the zone itself before any others.
+func Rank(b identifier.BackendServer, z identifier.Zone, r Roster, live map[identifier.Instance]identifier.Zone) (identifier.Instance, bool) {
+	var natives, guests []identifier.Instance
+	for _, m := range r.Members {
+		zone, ok := live[m.Instance]
+		switch {
+		case !ok || m.Fenced:
+		case zone == z:
+			natives = append(natives, m.Instance)
+		default:
+			guests = append(guests, m.Instance)
 		}
 	}
-	return ranker.Top(string(c.info.ID), candidates)
+	if len(natives) > 0 {
+		return ranker.Top(string(b), natives)
+	}
+	return ranker.Top(string(b), guests)
 }
 
 // drive moves one coordination on: ask, claim, renew, hand over or let go.
--- a/operator/load.go
+++ b/operator/load.go
@@ -111,10 +111,11 @@
 			t.take("NotSent", 0)
 			continue
 		}
-		target := o.targets[n%len(o.targets)]
+		target, at := o.targets[n%len(o.targets)], due
 		wg.Go(func() {
 			defer func() { <-slots }()
-			t.take(sendOne(ctx, client, o, target, key, n), c.now().Sub(due))
+			outcome := sendOne(ctx, client, o, target, key, n)
+			t.take(outcome, c.now().Sub(at))
 		})
 	}
 	wg.Wait()
--- a/router/pool.go
+++ b/router/pool.go
@@ -182,6 +182,11 @@
 	return true
 }
 
+// HedgeShare returns the share of hedges among the recent requests.
+func (p *Pool) HedgeShare() float64 {
+	return float64(p.hedged) / float64(max(1, p.started))
+}
+
 // hedgeWindow is the number of requests after which the hedge budget forgets half.
 const hedgeWindow = 1000
 
