--- /dev/null
+++ b/controller/message_test.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/turmericlift/turmericlift/granter"
+	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// core are the packages that decide; they do no I/O.
+var core = []string{
+	"identifier", "partitioner", "ranker", "prober", "granter", "assigner", "controller", "admitter", "journaler",
+	"quarantiner", "configurer", "router",
+}
+
+// TestCoreDoesNoIO checks what the deciding packages import themselves.
+func TestCoreDoesNoIO(t *testing.T) {
+	t.Parallel()
+	const module = "github.com/turmericlift/turmericlift/"
+	for _, name := range core {
+		out, err := exec.Command("go", "list", "-f", `{{join .Imports "\n"}}`, module+name).Output()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, path := range strings.Fields(string(out)) {
+			switch path {
+			case "net", "net/http", "os", "io", "github.com/quic-go/quic-go", "github.com/sirupsen/logrus":
+				t.Errorf("%s imports %s", name, path)
+			}
+		}
+	}
+}
+
+// FuzzDecodeMessage feeds the decoder of peer messages, and the controller with what
+// it makes of them.
+func FuzzDecodeMessage(f *testing.F) {
+	self := prober.Peer{Instance: "instance-0", Zone: "zone-0", Address: "127.0.0.1:1"}
+	other := prober.Peer{Instance: "instance-1", Zone: "zone-0", Address: "127.0.0.1:2"}
+	seeds := []Message{
+		ProbeMessage{prober.Message{Number: 1, News: []prober.News{{Peer: other, Status: prober.Dead}}}},
+		HandOverMessage{granter.HandOver{Server: "server-0", Term: 1}},
+		ConfirmMessage{granter.Confirm{Instance: "instance-1", Grants: []granter.Outstanding{{Remaining: -1}}}},
+		FetchMessage{Since: 3},
+		DocumentsMessage{Complete: true, Revision: 9, Objects: []storer.Object{{Name: ZonesName, Version: 9, Data: []byte("{")}}},
+	}
+	for _, m := range seeds {
+		data, err := EncodeMessage(other, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		from, m, err := DecodeMessage(data)
+		if err != nil {
+			return
+		}
+		c := New(worldStart, DefaultConfig(self, 1))
+		c.Step(worldStart, MessageReceived{from, m})
+		c.Step(worldStart.Add(worldTick), Tick{})
+	})
+}
+
+// TestBadObjectKeepsTheLastGoodOne feeds objects that do not decode.
+func TestBadObjectKeepsTheLastGoodOne(t *testing.T) {
+	t.Parallel()
+	names := []string{ZonesName, SettingsName("org"), AssignmentName(worldService), RosterName("zone-0"), AssignerName(worldService)}
+	w := newWorld(1, worldSize{zones: 1, instances: 1, servers: 2, partitions: 8})
+	w.run(warmUp)
+	ctl := w.instances[0].ctl
+	before := ctl.Dump(w.now)
+	for n, name := range names {
+		bad := storer.Object{Name: name, Version: 1000, Data: []byte{0xff, byte(n)}}
+		noted := false
+		for _, a := range ctl.Step(w.now, Watched{w.now, ctl.Revision(), storer.Change{Revision: ctl.Revision(), Objects: []storer.Object{bad}}}) {
+			if note, ok := a.(Noted); ok && note.Subject == "BadObject" {
+				noted = true
+			}
+		}
+		if !noted {
+			t.Errorf("%s: a bad object was not noted", name)
+		}
+	}
+	if after := ctl.Dump(w.now); len(after.Services) != len(before.Services) || after.Services[0].Version != before.Services[0].Version {
+		t.Errorf("after bad objects: %+v, before: %+v", after.Services, before.Services)
+	}
+}
--- /dev/null
+++ b/partitioner/partitioner_test.go
@@ -0,0 +1,130 @@
+package partitioner
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+func serverNumber(n int) Server {
+	return Server{ID: identifier.BackendServer(fmt.Sprint("server-", n)), Zone: "zone-0"}
+}
+
+// TestRules changes an assignment at random: an owner changes only by a commit, and
+// then under a higher epoch; an epoch never sinks; the stored form keeps everything.
+func TestRules(t *testing.T) {
+	t.Parallel()
+	for seed := range 500 {
+		drawChanges.Example(seed)
+	}
+}
+
+var drawChanges = rapid.Custom(func(t *rapid.T) int {
+	a, err := New(8)
+	if err != nil {
+		panic(err)
+	}
+	for range 60 {
+		before := a.Clone()
+		p := identifier.Partition(rapid.IntRange(0, 10).Draw(t, "Partition"))
+		s := serverNumber(rapid.IntRange(0, 4).Draw(t, "Server"))
+		kind := rapid.IntRange(0, 5).Draw(t, "Change")
+		change(a, kind, p, s)
+		checkStep(before, a, kind)
+	}
+	return 0
+})
+
+func change(a *Assignment, kind int, p identifier.Partition, s Server) {
+	var err error
+	switch kind {
+	case 0:
+		err = a.Place(p, s)
+	case 1:
+		err = a.Mark(p, s)
+	case 2:
+		err = a.Commit(p)
+	case 3:
+		err = a.Abort(p)
+	case 4:
+		err = a.Redirect(p, s)
+	case 5:
+		_, err = a.Pin(identifier.Key(fmt.Sprint("key-", p)))
+	}
+	var rule *RuleError
+	if err != nil && !errors.As(err, &rule) {
+		panic(err)
+	}
+}
+
+func checkStep(before, after *Assignment, kind int) {
+	for n := range before.Len() {
+		p := identifier.Partition(n)
+		o1, e1, owned := before.Owner(p)
+		o2, e2, _ := after.Owner(p)
+		moved := owned && o1 != o2
+		if e2 < e1 || moved && (kind != 2 || e2 == e1) {
+			panic(fmt.Sprintf("change %d: partition %d went from %s@%d to %s@%d", kind, n, o1, e1, o2, e2))
+		}
+	}
+	data, err := after.Encode()
+	if err != nil {
+		panic(err)
+	}
+	again, err := Decode(data)
+	if err != nil || !reflect.DeepEqual(again.owners, after.owners) || !reflect.DeepEqual(again.next, after.next) ||
+		!reflect.DeepEqual(again.epochs, after.epochs) || !reflect.DeepEqual(again.pinned, after.pinned) {
+		panic(fmt.Sprintf("round trip: %v", err))
+	}
+}
+
+// TestLargestFits checks that the largest assignment fits one value of the platform.
+func TestLargestFits(t *testing.T) {
+	t.Parallel()
+	a, err := New(MaxPartitions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for p := range MaxPartitions {
+		if err := a.Place(identifier.Partition(p), serverNumber(p%1800)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := a.Encode()
+	if err != nil || len(data) > 1<<20 {
+		t.Errorf("%d bytes, %v; the limit is %d", len(data), err, 1<<20)
+	}
+}
+
+// FuzzDecode feeds the decoder of assignments.
+func FuzzDecode(f *testing.F) {
+	a, err := New(4)
+	if err != nil {
+		f.Fatal(err)
+	}
+	_ = a.Place(1, serverNumber(0))
+	_ = a.Mark(1, serverNumber(1))
+	data, err := a.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := Decode(data)
+		if err != nil {
+			return
+		}
+		for p := range a.Len() {
+			a.Owner(identifier.Partition(p))
+			a.Next(identifier.Partition(p))
+		}
+		if _, err := a.Encode(); err != nil {
+			t.Error(err)
+		}
+	})
+}
