--- a/commander/commander.go
+++ b/commander/commander.go
@@ -50,19 +50,20 @@
 	log := logrus.New()
 	log.SetOutput(errOut)
 	app := kingpin.New("turmericlift", "Router for servers that own keys exclusively.")
-	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
+	helped := false
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(func(int) { helped = true })
 	level := app.Flag("log-level", "Least level of log lines: debug, info, warning, error.").
 		Envar("TURMERICLIFT_LOG_LEVEL").Default("info").Enum("debug", "info", "warning", "error")
 	runs := addCommands(app)
 	selected, err := app.Parse(args)
+	if helped {
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintf(errOut, "turmericlift: %v\n", err)
 		return ExitUsage
 	}
-	run, ok := runs[selected]
-	if !ok {
-		return ExitOK // Help was asked for.
-	}
+	run := runs[selected]
 	parsed, err := logrus.ParseLevel(*level)
 	if err != nil {
 		fmt.Fprintf(errOut, "turmericlift: --log-level (TURMERICLIFT_LOG_LEVEL): %v\n", err)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,6 +19,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
@@ -88,18 +89,19 @@
 func Run(args []string, out, errOut io.Writer, now func() time.Time) int {
 	c := &console{out: out, now: now}
 	app := kingpin.New("turmericctl", "Operators' client of turmericlift.")
-	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
+	helped := false
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(func(int) { helped = true })
 	c.addFlags(app)
 	runs := addCommands(app)
 	selected, err := app.Parse(args)
+	if helped {
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintf(errOut, "turmericctl: %v\n", err)
 		return ExitUsage
 	}
-	run, ok := runs[selected]
-	if !ok {
-		return ExitOK // Help was asked for.
-	}
+	run := runs[selected]
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, c); err != nil {
@@ -112,12 +114,13 @@
 func exitCode(err error) int {
 	var conflict *storer.ConflictError
 	var field *configurer.FieldError
+	var name *identifier.InvalidError
 	switch {
 	case errors.As(err, &conflict):
 		return ExitConflict
 	case errors.Is(err, errNotYet):
 		return ExitNotYet
-	case errors.As(err, &field):
+	case errors.As(err, &field), errors.As(err, &name):
 		return ExitUsage
 	}
 	return ExitFailed
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -9,8 +9,7 @@
 // tick times out probes, declares suspects dead and starts the next probe.
 func (p *Prober) tick(now time.Time) []Send {
 	var sends []Send
-	for _, i := range p.ring {
-		m := p.members[i]
+	for _, m := range p.ring {
 		sends = append(sends, p.overdue(now, m)...)
 		if m.Status == Suspect && now.Sub(m.since) >= p.cfg.Suspicion {
 			p.change(now, m, Dead)
@@ -61,8 +60,7 @@
 // ones that are not dead.
 func (p *Prober) targets() []*member {
 	var targets []*member
-	for _, i := range p.ring {
-		m := p.members[i]
+	for _, m := range p.ring {
 		if m.Status < Dead && len(targets) < p.cfg.Successors {
 			targets = append(targets, m)
 		}
@@ -90,8 +88,8 @@
 
 func (p *Prober) ended() []*member {
 	var ended []*member
-	for _, i := range p.ring {
-		if m := p.members[i]; m.Status == Dead && !m.unlisted {
+	for _, m := range p.ring {
+		if m.Status == Dead && !m.unlisted {
 			ended = append(ended, m)
 		}
 	}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -11,6 +11,7 @@
 package prober
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -106,6 +107,7 @@
 
 type member struct {
 	News
+	place     uint64    // On the ring of hashes, seen from this instance.
 	since     time.Time // When the status began.
 	sends     int       // How often the news is still to be sent.
 	unlisted  bool      // The platform's list does not have it any more.
@@ -124,7 +126,8 @@
 type Prober struct {
 	cfg      Config
 	members  map[identifier.Instance]*member
-	ring     []identifier.Instance // All others, by their hash.
+	ring     []*member // All others, by their place.
+	place    uint64    // Of this instance on the ring.
 	self     member
 	leaving  bool
 	number   uint64
@@ -140,7 +143,7 @@
 // New returns the Prober of a process.
 func New(cfg Config) *Prober {
 	return &Prober{
-		cfg: cfg, members: map[identifier.Instance]*member{}, relays: map[uint64]relayID{},
+		cfg: cfg, place: ranker.Weight("ring", string(cfg.Self.Instance)), members: map[identifier.Instance]*member{}, relays: map[uint64]relayID{},
 		self: member{News: News{cfg.Self, cfg.Incarnation, Alive}, sends: spread},
 	}
 }
@@ -259,25 +262,37 @@
 // heard of is probed; one that is dead and off the list is forgotten.
 func (p *Prober) listed(now time.Time, peers []Peer) {
 	on := map[identifier.Instance]bool{}
+	before := len(p.members)
 	for _, peer := range peers {
 		on[peer.Instance] = true
 		if _, ok := p.members[peer.Instance]; !ok && peer.Instance != p.cfg.Self.Instance {
-			p.add(now, News{Peer: peer, Status: Unheard})
+			p.insert(now, News{Peer: peer, Status: Unheard})
 		}
 	}
+	changed := len(p.members) > before
 	for i, m := range p.members {
 		m.unlisted = !on[i]
 		if m.unlisted && m.Status != Alive && m.Status != Suspect {
 			delete(p.members, i)
+			changed = true
 		}
 	}
-	p.rebuild()
+	if changed {
+		p.rebuild()
+	}
 }
 
 func (p *Prober) add(now time.Time, n News) *member {
-	m := &member{News: n, since: now}
-	p.members[n.Peer.Instance] = m
+	m := p.insert(now, n)
 	p.rebuild()
+	return m
+}
+
+// insert adds a member; rebuild must follow.
+func (p *Prober) insert(now time.Time, n News) *member {
+	place := ranker.Weight("ring", string(n.Peer.Instance)) - p.place
+	m := &member{News: n, since: now, place: place}
+	p.members[n.Peer.Instance] = m
 	p.liveEdit++
 	return m
 }
@@ -285,16 +300,10 @@
 // rebuild sorts the ring by hash, seen from this instance onwards.
 func (p *Prober) rebuild() {
 	p.ring = p.ring[:0]
-	for i := range p.members {
-		p.ring = append(p.ring, i)
+	for _, m := range p.members {
+		p.ring = append(p.ring, m)
 	}
-	own := ranker.Weight("ring", string(p.cfg.Self.Instance))
-	slices.SortFunc(p.ring, func(x, y identifier.Instance) int {
-		if ranker.Weight("ring", string(x))-own < ranker.Weight("ring", string(y))-own {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(p.ring, func(x, y *member) int { return cmp.Compare(x.place, y.place) })
 }
 
 // announce queues news to be sent to enough others that all learn of it.
@@ -308,8 +317,8 @@
 	if p.self.sends > 0 {
 		queue = append(queue, &p.self)
 	}
-	for _, i := range p.ring {
-		if m := p.members[i]; m.sends > 0 && m.Status != Unheard {
+	for _, m := range p.ring {
+		if m.sends > 0 && m.Status != Unheard {
 			queue = append(queue, m)
 		}
 	}
