--- a/configurer/values.go
+++ b/configurer/values.go
@@ -95,7 +95,7 @@
 		[]string{RecordPlatform, RecordMemory}, func(v *Values) **string { return &v.OutcomeRecord }),
 	number("OutcomeRetentionS", "How long the outcome of a request that may not be repeated is kept, in s.", 600, 10, 86400,
 		func(v *Values) **int { return &v.OutcomeRetentionS }),
-	number("JournalGroups", "Number of journal objects of the service; each takes 10 writes a second at most.", 8, 1, 256,
+	number("JournalGroups", "Number of journal objects of the service; each takes 20 writes a second at most.", 4, 1, 256,
 		func(v *Values) **int { return &v.JournalGroups }),
 }
 
--- /dev/null
+++ b/controller/capacity_test.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/partitioner"
+	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// capacitySizes are the sizes at which slopes are measured: backend servers of one
+// service, with 36 partitions each.
+var capacitySizes = []int{20, 200, 1800}
+
+// fill returns a settled controller that knows a service with n backend servers and
+// n instances, over nine zones.
+func fill(b *testing.B, n int) (*Controller, time.Time) {
+	b.Helper()
+	now := worldStart
+	self := prober.Peer{Instance: "instance-0000", Zone: "zone-0", Address: "10.0.0.0:1"}
+	c := New(now, DefaultConfig(self, 1))
+	w := &world{now: now, objects: map[string]storer.Object{}}
+	w.writeSettings(worldSize{partitions: 65536})
+	a := assignment(b, n)
+	data, err := a.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	w.write(AssignmentName(worldService), 0, data)
+	change := storer.Change{Revision: w.revision}
+	for _, o := range w.objects {
+		change.Objects = append(change.Objects, o)
+	}
+	var listed []storer.Listed
+	for i := range n {
+		zone := identifier.Zone(fmt.Sprintf("zone-%d", i%9))
+		listed = append(listed, storer.Listed{
+			ID: fmt.Sprintf("server-%d", i), Kind: storer.KindBackendServer, State: storer.StateLive, Zone: zone,
+			Address: "10.1.0.0:80", Organisation: worldService.Organisation, Service: worldService.Service,
+		}, storer.Listed{ID: fmt.Sprintf("instance-%04d", i), Kind: storer.KindEntry, State: storer.StateLive, Zone: zone, Address: "10.0.0.1:1"})
+	}
+	c.Step(now, Watched{now, 0, change})
+	c.Step(now, ListRead{listed})
+	return c, now
+}
+
+func assignment(b *testing.B, servers int) *partitioner.Assignment {
+	b.Helper()
+	n := 1
+	for n < 36*servers && n < partitioner.MaxPartitions {
+		n *= 2
+	}
+	a, err := partitioner.New(n)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for p := range n {
+		server := partitioner.Server{ID: identifier.BackendServer(fmt.Sprintf("server-%d", p%servers)), Zone: identifier.Zone(fmt.Sprintf("zone-%d", p%servers%9))}
+		if err := a.Place(identifier.Partition(p), server); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return a
+}
+
+// BenchmarkTick measures one tick of an instance that is not an assigner; it ticks 40
+// times a second.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range capacitySizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, now := fill(b, n)
+			for b.Loop() {
+				now = now.Add(25 * time.Millisecond)
+				c.Step(now, Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkTable measures the building of the router's table after a change.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range capacitySizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _ := fill(b, n)
+			for b.Loop() {
+				c.Table()
+			}
+		})
+	}
+}
+
+// BenchmarkAdopt measures the decoding of an assignment, and reports its size.
+func BenchmarkAdopt(b *testing.B) {
+	for _, n := range capacitySizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			data, err := assignment(b, n).Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := partitioner.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "stored-bytes")
+		})
+	}
+}
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -294,6 +294,34 @@
 	wg.Wait()
 }
 
+// TestNoNewWork takes a zone out, drains a server and lets one leave: none of the
+// servers concerned begins a request later than 2 s after that is known.
+func TestNoNewWork(t *testing.T) {
+	t.Parallel()
+	const within = 2 * time.Second
+	cases := []struct {
+		kind      string
+		concerned func(s *worldServer) bool
+		lag       time.Duration
+	}{
+		{"ZoneOut", func(s *worldServer) bool { return s.info.Zone == "zone-1" }, 0},
+		{"DrainServer", func(s *worldServer) bool { return s.info.ID == "server-1" }, 0},
+		{"LeaveServer", func(s *worldServer) bool { return s.info.ID == "server-1" }, worldListLag},
+	}
+	for _, c := range cases {
+		for seed := range uint64(50) {
+			s := schedule{Seed: seed, Zones: 3, Instances: 6, Servers: 6, Faults: []fault{{Kind: c.kind, AtMs: 500, ForMs: 60000, Target: 1}}}
+			w := s.play()
+			limit := worldStart.Add(warmUp + 500*time.Millisecond + c.lag + within)
+			for _, server := range w.servers {
+				if c.concerned(server) && server.begunAt.After(limit) {
+					t.Errorf("%s, seed %d: %s began a request %s too late", c.kind, seed, server.info.ID, server.begunAt.Sub(limit))
+				}
+			}
+		}
+	}
+}
+
 // TestScripts runs the schedules in _fixtures.
 func TestScripts(t *testing.T) {
 	t.Parallel()
--- a/controller/world_load_test.go
+++ b/controller/world_load_test.go
@@ -90,6 +90,7 @@
 	w.checkAlone(s, r.grant.Partition)
 	w.checkKey(s, r.key)
 	w.note(r)
+	s.begunAt = w.now
 	s.requests[r] = true
 	fence := s.fence
 	w.after(time.Duration(w.rand.IntN(300))*time.Millisecond, &s.process, func() {
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -78,6 +78,7 @@
 	fence    *imitator.Fence
 	inc      identifier.Incarnation
 	requests map[*worldRequest]bool
+	begunAt  time.Time // When the last request began.
 }
 
 type worldRequest struct {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -204,7 +204,7 @@
 		answerer.CodeFenced, answerer.CodeNoCoordinator, answerer.CodeNoBackendServer:
 		return true // Nothing reached a backend server's slots: no load to bound.
 	case answerer.CodeBackendUnreachable, answerer.CodeBackendBroke, answerer.CodePeerUnreachable,
-		answerer.CodePeerBroke, answerer.CodeShed, answerer.CodeQueueFull:
+		answerer.CodePeerBroke, answerer.CodeShed:
 		return d.budget(r.Service).retry(d.retryPercent(r.Service))
 	}
 	return false
--- a/journaler/keeper.go
+++ b/journaler/keeper.go
@@ -33,7 +33,7 @@
 // The default times of a Keeper.
 const (
 	DefaultRetention = 10 * time.Minute
-	DefaultPause     = 100 * time.Millisecond
+	DefaultPause     = 50 * time.Millisecond
 )
 
 // Token names a caller of Begin who waits for a verdict.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,7 +28,7 @@
 
 const (
 	// tickEvery is the resolution of all control decisions.
-	tickEvery = 25 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
 	// loadsEvery is the time between two measurements of load.
 	loadsEvery = time.Second
 	// eventBacklog is the room for events that wait for the control loop.
