assigner: hot keys are found by a bounded sketch and get a partition of their own

Cause: a key hotter than its partition's share cannot be balanced by moving partitions, and the hottest 49 keys change within minutes. Change: coordinators count keys by Space-Saving (64 counters) and report the heaviest 8; the assigner pins those over a quarter of a server's mean load, up to AutoPins, and takes the pin back below a twentieth, after moving it to the key's former partition. A freed pin's old grants count as those of any moving key until they are over. Ruled out: exact counters per key (1.1 billion keys).

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -103,6 +103,7 @@
 	writingAt  time.Time // Zero: no write of the assignment is under way.
 	rosterAt   map[identifier.Zone]time.Time
 	balancedAt time.Time
+	pinnedAt   time.Time
 }
 
 // New returns the Assigner of a service at an instance.
@@ -117,6 +118,7 @@
 		fencedAt: map[granter.Holder]time.Time{},
 		promises: promises{},
 		rosterAt: map[identifier.Zone]time.Time{},
+		loads:    newLoads(),
 	}
 }
 
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -71,7 +71,7 @@
 			changed = true
 		}
 	}
-	return a.pin(next) || changed
+	return a.tendPins(now, next) || changed
 }
 
 // apply places or marks one partition. A move from a server that still serves is
@@ -109,17 +109,6 @@
 	return true
 }
 
-// pin gives the keys that the settings name a partition of their own.
-func (a *Assigner) pin(next *partitioner.Assignment) bool {
-	changed := false
-	for _, k := range a.settings.PinnedKeys {
-		if _, err := next.Pin(k); err == nil {
-			changed = true
-		}
-	}
-	return changed
-}
-
 // tendRosters raises the floors that marks need, fences granters that a move cannot
 // wait for, and takes off those whose instance has ended.
 func (a *Assigner) tendRosters(now time.Time) []Action {
--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -119,6 +119,9 @@
 			continue
 		}
 		owner, _, owned := p.assignment.Owner(part)
+		if !owned && p.assignment.Pinned(part) {
+			continue // A pin that is free.
+		}
 		if s, known := p.servers[owner]; !owned || known && s.Evacuate {
 			homeless = append(homeless, part)
 		}
--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -12,6 +12,9 @@
 	smoothing = 0.2
 	// weightMemory is the time that the smoothing remembers: 1/smoothing measurements.
 	weightMemory = 5 * time.Second
+	// fading is the share of a key's load that is forgotten each second, besides what
+	// new measurements replace.
+	fading = 0.05
 	// baseShare is the weight that every partition has besides its measured load, as a
 	// share of the mean load: idle partitions are spread too.
 	baseShare = 0.05
@@ -27,23 +30,52 @@
 // loads keeps the smoothed load of each partition, in requests per second.
 type loads struct {
 	rates map[identifier.Partition]float64
+	keys  map[identifier.Key]float64 // Of keys that were among the heaviest lately.
 }
 
-func (l *loads) take(measured []granter.PartitionLoad) {
-	if l.rates == nil {
-		l.rates = map[identifier.Partition]float64{}
-	}
-	for _, m := range measured {
+func newLoads() loads {
+	return loads{map[identifier.Partition]float64{}, map[identifier.Key]float64{}}
+}
+
+func (l *loads) take(measured granter.Loads) {
+	for _, m := range measured.Partitions {
 		l.rates[m.Partition] += smoothing * (m.Rate - l.rates[m.Partition])
 	}
+	for _, m := range measured.Keys {
+		l.keys[m.Key] += smoothing * (m.Rate - l.keys[m.Key])
+	}
 }
 
-// weights returns the weight of each of n partitions.
-func (l *loads) weights(n int) Weights {
+// age lets the keys that are not reported any more fade out; it is called once a
+// second.
+func (l *loads) age() {
+	for k, rate := range l.keys {
+		l.keys[k] = rate * (1 - fading)
+		if l.keys[k] < 1 {
+			delete(l.keys, k)
+		}
+	}
+}
+
+// hand takes the load of a key that was pinned from its former partition to the new
+// one, so that the former one does not seem hot until it is measured again.
+func (l *loads) hand(k identifier.Key, from, to identifier.Partition) {
+	l.rates[to] = l.keys[k]
+	l.rates[from] = max(0, l.rates[from]-l.keys[k])
+}
+
+// total returns the measured load of the service.
+func (l *loads) total() float64 {
 	total := 0.0
 	for _, r := range l.rates {
 		total += r
 	}
+	return total
+}
+
+// weights returns the weight of each of n partitions.
+func (l *loads) weights(n int) Weights {
+	total := l.total()
 	w := Weights{Of: make([]float64, n), Measured: total >= 1}
 	base := 1.0
 	if w.Measured {
--- a/configurer/tree.go
+++ b/configurer/tree.go
@@ -183,6 +183,7 @@
 	ChecksGrants          bool
 	IsolationHold         time.Duration
 	BalanceMovesPerMinute int
+	AutoPins              int
 	Slots                 int
 	ColdSlots             int
 	QueueLength           int
@@ -204,8 +205,8 @@
 	return Effective{
 		Keyed: *v.Keyed, Partitions: *v.Partitions, ChecksGrants: *v.ChecksGrants,
 		IsolationHold:         milliseconds(*v.IsolationHoldMs),
-		BalanceMovesPerMinute: *v.BalanceMovesPerMinute,
-		Slots:                 *v.Slots, ColdSlots: *v.ColdSlots, QueueLength: *v.QueueLength,
+		BalanceMovesPerMinute: *v.BalanceMovesPerMinute, AutoPins: *v.AutoPins,
+		Slots: *v.Slots, ColdSlots: *v.ColdSlots, QueueLength: *v.QueueLength,
 		Connections: *v.Connections, Timeout: milliseconds(*v.TimeoutMs), MaxTimeout: milliseconds(*v.MaxTimeoutMs),
 		MaxBodyBytes: *v.MaxBodyBytes, RetryPercent: *v.RetryPercent, HedgePercent: *v.HedgePercent,
 		OutcomeRecord: *v.OutcomeRecord, OutcomeRetention: time.Duration(*v.OutcomeRetentionS) * time.Second,
@@ -331,6 +332,16 @@
 	return t.Check()
 }
 
+// Unpin takes a key from the pins of a service.
+func (t *Tree) Unpin(name identifier.Service, k identifier.Key) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	s.Pins = slices.DeleteFunc(s.Pins, func(pinned identifier.Key) bool { return pinned == k })
+	return t.Check()
+}
+
 // Drained reports whether operators drain a backend server.
 func (t *Tree) Drained(name identifier.Service, b identifier.BackendServer) bool {
 	s, ok := t.Services[name]
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -17,6 +17,7 @@
 	ChecksGrants          *bool   `json:",omitempty"`
 	IsolationHoldMs       *int    `json:",omitempty"`
 	BalanceMovesPerMinute *int    `json:",omitempty"`
+	AutoPins              *int    `json:",omitempty"`
 	Slots                 *int    `json:",omitempty"`
 	ColdSlots             *int    `json:",omitempty"`
 	QueueLength           *int    `json:",omitempty"`
@@ -73,6 +74,8 @@
 		func(v *Values) **int { return &v.IsolationHoldMs }),
 	number("BalanceMovesPerMinute", "Most moves of partitions a minute that only even out load.", 120, 0, 10000,
 		func(v *Values) **int { return &v.BalanceMovesPerMinute }),
+	number("AutoPins", "Most pinned keys up to which hot keys are pinned by themselves; 0 for none.", 64, 0, 1024,
+		func(v *Values) **int { return &v.AutoPins }),
 	number("Slots", "Requests that one backend server runs at a time.", 6, 1, 10000,
 		func(v *Values) **int { return &v.Slots }),
 	number("ColdSlots", "Requests that a cold backend server runs at a time.", 1, 1, 10000,
--- a/controller/event.go
+++ b/controller/event.go
@@ -61,7 +61,7 @@
 // LoadsMeasured brings the measured load of a service's partitions.
 type LoadsMeasured struct {
 	Service identifier.ServiceName
-	Loads   []granter.PartitionLoad
+	Loads   granter.Loads
 }
 
 // CrashSeen says that a backend server crashed under a request of this instance.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -262,7 +262,7 @@
 	if !c.clock().Before(deadline) || !f.Deadline.IsZero() && !c.clock().Before(f.Deadline) {
 		return answerer.Refuse(answerer.CodeExpired, "before it was sent")
 	}
-	c.loads.count(r.Service, p.grant.Partition)
+	c.loads.count(r.Service, p.grant.Partition, r.Key)
 	maxBody := c.view.Load().Settings[r.Service].MaxBodyBytes
 	answer := c.sender.Send(ctx, p.held.Server.Address, r, f, maxBody)
 	if answer.Outcome == answerer.Unknown && errors.Is(context.Cause(ctx), errLostKey) {
@@ -341,7 +341,7 @@
 	return states
 }
 
-// Loads returns the request rates since the last call, per service and partition.
-func (c *Coordinator) Loads() map[identifier.ServiceName][]granter.PartitionLoad {
+// Loads returns the loads since the last call, per service.
+func (c *Coordinator) Loads() map[identifier.ServiceName]granter.Loads {
 	return c.loads.drain(c.clock())
 }
--- a/granter/coordination.go
+++ b/granter/coordination.go
@@ -104,12 +104,17 @@
 }
 
 // overlaps reports whether requests of the grant other may concern keys of the
-// moving grant g: they are of the same partition, or g is of a pinned key and
-// other of the partition that the key had before, under an epoch before the pin.
+// moving grant g: they are of the same partition; or g is of a pinned key and other
+// of the partition that the key had before, under an epoch before the pin; or other
+// is an old grant of a pin, whose key may be any by now.
 func overlaps(a *partitioner.Assignment, g, other Grant) bool {
 	if other.Partition == g.Partition {
 		return other.Epoch <= g.Epoch
 	}
+	if a.Pinned(other.Partition) {
+		_, e, owned := a.Owner(other.Partition)
+		return !owned || other.Epoch < e
+	}
 	base, pinned := a.Base(g.Partition)
 	if !pinned || other.Partition != base {
 		return false
--- a/granter/event.go
+++ b/granter/event.go
@@ -75,7 +75,19 @@
 // LoadsMeasured brings the load of partitions since the last such event.
 type LoadsMeasured struct {
 	Service identifier.ServiceName
-	Loads   []PartitionLoad
+	Loads   Loads
+}
+
+// Loads are the measured loads of a service at one instance.
+type Loads struct {
+	Partitions []PartitionLoad
+	Keys       []KeyLoad // The heaviest keys.
+}
+
+// KeyLoad is the load of one key, in requests per second.
+type KeyLoad struct {
+	Key  identifier.Key
+	Rate float64
 }
 
 // Stop starts the graceful shutdown: hand every backend server over.
@@ -176,5 +188,5 @@
 	Service  identifier.ServiceName
 	Instance identifier.Instance
 	Servers  []ServerReport
-	Loads    []PartitionLoad
+	Loads    Loads
 }
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -81,7 +81,7 @@
 	live        map[identifier.Instance]identifier.Zone
 	servers     map[identifier.BackendServer]*coordination
 	order       []identifier.BackendServer // Sorted, so that each run is the same.
-	loads       map[identifier.ServiceName][]PartitionLoad
+	loads       map[identifier.ServiceName]Loads
 	contactAt   time.Time
 	confirmAt   time.Time
 	reportAt    time.Time
@@ -101,7 +101,7 @@
 		holds:       map[identifier.ServiceName]time.Duration{},
 		live:        map[identifier.Instance]identifier.Zone{},
 		servers:     map[identifier.BackendServer]*coordination{},
-		loads:       map[identifier.ServiceName][]PartitionLoad{},
+		loads:       map[identifier.ServiceName]Loads{},
 		rosterAt:    map[identifier.Zone]time.Time{},
 		vacantSince: map[identifier.Zone]time.Time{},
 	}
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -81,10 +81,17 @@
 			t.Fatal(err)
 		}
 	}
+	freed, err := a.Pin("once hot")
+	if err != nil {
+		t.Fatal(err)
+	}
 	pinned, err := a.Pin("hot")
 	if err != nil {
 		t.Fatal(err)
 	}
+	if err := a.Unpin("once hot"); err != nil {
+		t.Fatal(err)
+	}
 	_, e, _ := a.Owner(pinned)
 	cases := []struct {
 		name  string
@@ -96,6 +103,7 @@
 		{"LaterEpoch", Grant{pinned, e + 1}, false},
 		{"BaseBeforeThePin", Grant{base, e - 1}, true},
 		{"BaseAfterThePin", Grant{base, e}, false},
+		{"FreedPin", Grant{freed, 1}, true},
 		{"OtherPartition", Grant{(base + 1) % 8, e - 1}, false},
 	}
 	for _, c := range cases {
--- a/operator/instances.go
+++ b/operator/instances.go
@@ -268,16 +268,22 @@
 	}
 }
 
-func setUpPin(c *kingpin.CmdClause) func(context.Context, *console) error {
-	level := c.Arg("service", "organisation/service").Required().String()
-	key := c.Arg("key", "The hot key.").Required().String()
-	return func(ctx context.Context, con *console) error {
-		path, err := parsePath(*level)
-		if err != nil {
-			return err
+func setUpPin(pinned bool) func(*kingpin.CmdClause) func(context.Context, *console) error {
+	return func(c *kingpin.CmdClause) func(context.Context, *console) error {
+		level := c.Arg("service", "organisation/service").Required().String()
+		key := c.Arg("key", "The hot key.").Required().String()
+		return func(ctx context.Context, con *console) error {
+			path, err := parsePath(*level)
+			if err != nil {
+				return err
+			}
+			what := fmt.Sprintf("pin %s=%t", *key, pinned)
+			return con.change(ctx, path.Organisation, what, func(t *configurer.Tree) error {
+				if pinned {
+					return t.Pin(path.Service, identifier.Key(*key))
+				}
+				return t.Unpin(path.Service, identifier.Key(*key))
+			})
 		}
-		return con.change(ctx, path.Organisation, "pin "+*key, func(t *configurer.Tree) error {
-			return t.Pin(path.Service, identifier.Key(*key))
-		})
 	}
 }
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -50,7 +50,7 @@
 	owners  []server
 	next    []server
 	epochs  []identifier.Epoch
-	pinned  []identifier.Key // In the order of their partitions.
+	pinned  []identifier.Key // In the order of their partitions; "" where one is free.
 	pins    map[identifier.Key]identifier.Partition
 }
 
@@ -150,12 +150,15 @@
 // false for the partitions that keys are hashed onto.
 func (a *Assignment) Base(p identifier.Partition) (base identifier.Partition, ok bool) {
 	n := int(p) - a.hashed
-	if n < 0 || n >= len(a.pinned) {
+	if n < 0 || n >= len(a.pinned) || a.pinned[n] == "" {
 		return 0, false
 	}
 	return a.hash(a.pinned[n]), true
 }
 
+// Pinned reports whether a partition is, or was, one of a pinned key.
+func (a *Assignment) Pinned(p identifier.Partition) bool { return int(p) >= a.hashed }
+
 // Servers returns the backend servers that the assignment names, in no order of rank.
 func (a *Assignment) Servers() []Server { return slices.Clone(a.servers) }
 
@@ -163,7 +166,9 @@
 func (a *Assignment) Pins() []Pin {
 	pins := make([]Pin, 0, len(a.pinned))
 	for n, k := range a.pinned {
-		pins = append(pins, Pin{k, identifier.Partition(a.hashed + n)})
+		if k != "" {
+			pins = append(pins, Pin{k, identifier.Partition(a.hashed + n)})
+		}
 	}
 	return pins
 }
@@ -269,18 +274,42 @@
 	if a.owners[p] == none || a.next[p] != none {
 		return p, &RuleError{p, "is not owned or is moving; pin the key once it is settled"}
 	}
-	if len(a.owners) >= MaxPartitions+maxPins {
+	n := slices.Index(a.pinned, "")
+	if n < 0 && len(a.pinned) >= maxPins {
 		return p, &RuleError{p, fmt.Sprintf("%d keys are pinned already", maxPins)}
 	}
-	pinned := identifier.Partition(len(a.owners))
-	a.grow(1)
+	if n < 0 {
+		n = len(a.pinned)
+		a.pinned = append(a.pinned, "")
+		a.grow(1)
+	}
+	pinned := identifier.Partition(a.hashed + n)
 	a.owners[pinned] = a.owners[p]
 	a.epochs[p]++
-	a.epochs[pinned] = a.epochs[p]
-	a.pinned = append(a.pinned, k)
+	a.epochs[pinned] = max(a.epochs[p], a.epochs[pinned]+1)
+	a.pinned[n] = k
 	a.pins[k] = pinned
 	return pinned, nil
 }
 
+// Unpin takes a key's own partition away. It must have the same owner as the
+// partition that the key is hashed onto, and neither may be moving.
+func (a *Assignment) Unpin(k identifier.Key) error {
+	pinned, ok := a.pins[k]
+	if !ok {
+		return &RuleError{pinned, fmt.Sprintf("key %q is not pinned", k)}
+	}
+	base := a.hash(k)
+	if a.owners[base] == none || a.owners[base] != a.owners[pinned] || a.next[base] != none || a.next[pinned] != none {
+		return &RuleError{pinned, fmt.Sprintf("and partition %d must have one owner and not move", base)}
+	}
+	a.owners[pinned] = none
+	a.epochs[pinned]++
+	a.epochs[base]++
+	a.pinned[int(pinned)-a.hashed] = ""
+	delete(a.pins, k)
+	return nil
+}
+
 // maxPins bounds the pinned keys of a service.
 const maxPins = 1024
