--- a/controller/capacity_test.go
+++ b/controller/capacity_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/partitioner"
 	"github.com/turmericlift/turmericlift/prober"
@@ -66,16 +70,52 @@
 	return a
 }
 
-// BenchmarkTick measures one tick of an instance that is not an assigner; it ticks 40
+// liveBytes returns the bytes of live objects.
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMessages measures the size of what an instance sends to its backend server
+// and to the assigner, twice a second each, with 36 partitions.
+func BenchmarkMessages(b *testing.B) {
+	order := granter.Order{Server: "server-1799", Coordinator: "instance-1799", Term: 9, Sequence: 99999, Lease: granter.DefaultLease}
+	report := granter.Report{Service: worldService, Instance: "instance-1799", Servers: []granter.ServerReport{{Server: "server-1799", State: granter.ServerLive}}}
+	for p := range identifier.Partition(36) {
+		order.Grants = append(order.Grants, granter.Grant{Partition: 65000 + p, Epoch: 300})
+		report.Loads.Partitions = append(report.Loads.Partitions, granter.PartitionLoad{Partition: 65000 + p, Rate: 123.4})
+	}
+	var sizes [2]int
+	for b.Loop() {
+		o, err := cbor.Marshal(order)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r, err := EncodeMessage(prober.Peer{Instance: "instance-1799", Zone: "zone-0", Address: "10.0.0.1:1"}, ReportMessage{report})
+		if err != nil {
+			b.Fatal(err)
+		}
+		sizes = [2]int{len(o), len(r)}
+	}
+	b.ReportMetric(float64(sizes[0]), "order-bytes")
+	b.ReportMetric(float64(sizes[1]), "report-bytes")
+}
+
+// BenchmarkTick measures one tick of an instance that is not an assigner; it ticks 20
 // times a second.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range capacitySizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := liveBytes()
 			c, now := fill(b, n)
+			used := liveBytes() - before
 			for b.Loop() {
-				now = now.Add(25 * time.Millisecond)
+				now = now.Add(50 * time.Millisecond)
 				c.Step(now, Tick{})
 			}
+			b.ReportMetric(float64(used)/(1<<20), "heap-MB")
 		})
 	}
 }
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -123,3 +123,52 @@
 		}
 	}
 }
+
+// BenchmarkHop measures what the hop from the entry instance to the coordinator adds
+// to a request, against handling it in place.
+func BenchmarkHop(b *testing.B) {
+	ids, err := NewIdentities(time.Now(), time.Hour, 2)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ends := make([]*Transport, 2)
+	h := echo{make(chan string, 1), nil}
+	ctx, cancel := context.WithCancel(context.Background())
+	for n := range ends {
+		config, err := ids[n].TLS()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if ends[n], err = New("127.0.0.1:0", config, h); err != nil {
+			b.Fatal(err)
+		}
+		go ends[n].Run(ctx)
+	}
+	request := make([]byte, 400)
+	b.Run("Direct", func(b *testing.B) {
+		for b.Loop() {
+			h.HandleRequest(ctx, KindRequest, request)
+		}
+	})
+	b.Run("Hop", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := ends[0].Call(ctx, ends[1].Address(), KindRequest, request); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("HopParallel", func(b *testing.B) {
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				if _, err := ends[0].Call(ctx, ends[1].Address(), KindRequest, request); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	})
+	cancel()
+	for _, end := range ends {
+		<-end.Done()
+	}
+}
