--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -51,6 +51,9 @@
 	// fenceAfter is how long a mark waits for a silent granter before the granter is
 	// fenced, if the service's IsolationHold is finite.
 	fenceAfter = 2 * time.Second
+	// abandonAfter is how long nobody reports on a server of a silent zone before it is
+	// given up, if the service's IsolationHold is finite.
+	abandonAfter = 3 * time.Second
 	// writeTimeout is how long a write may take before another one is tried.
 	writeTimeout = 3 * time.Second
 	// writeRetry is the time until a write that did not take effect is tried again.
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -41,7 +41,7 @@
 	c := Candidate{Server: s.info.Server}
 	zone := a.settings.Zones[s.info.Zone]
 	fresh := a.reported(now, s)
-	down := fresh && s.report.Silent >= a.cfg.DownAfter
+	down := a.down(now, s)
 	draining := fresh && s.report.State == granter.ServerDraining
 	out := zone == configurer.ZoneOut || zone == configurer.ZoneLost
 	c.Evacuate = !s.listed || s.info.Leaving || out || a.settings.Drained[s.info.ID] || down || draining
@@ -50,6 +50,28 @@
 	return c
 }
 
+// down reports whether a backend server is given up: its coordinator finds it silent,
+// or, if the service's IsolationHold is finite, its whole zone has not been heard of.
+func (a *Assigner) down(now time.Time, s *serverState) bool {
+	if a.reported(now, s) {
+		return s.report.Silent >= a.cfg.DownAfter
+	}
+	since := s.reportAt
+	if a.ledSince.After(since) {
+		since = a.ledSince
+	}
+	return a.settings.IsolationHold > 0 && now.Sub(since) >= abandonAfter && !a.anyGranterAnswers(s.info.Zone)
+}
+
+func (a *Assigner) anyGranterAnswers(z identifier.Zone) bool {
+	for _, m := range a.rosters[z].roster.Members {
+		if _, answers := a.live[m.Instance]; answers || m.Instance == a.cfg.Self {
+			return true
+		}
+	}
+	return false
+}
+
 // plan marks the partitions that should move.
 func (a *Assigner) plan(now time.Time, next *partitioner.Assignment) bool {
 	limit := 0
@@ -83,8 +105,7 @@
 		return next.Place(m.Partition, m.To) == nil
 	}
 	s, known := a.servers[owner]
-	lost := known && a.reported(now, s) && s.report.Silent >= a.cfg.DownAfter
-	serves := known && s.listed && !lost
+	serves := known && s.listed && !a.down(now, s)
 	if serves && (*room <= 0 || !a.grantersAnswer(a.zoneOf(owner))) {
 		return false
 	}
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -86,6 +86,19 @@
 		w.delist(string(i.peer.Instance))
 		return func() { w.addInstance(fmt.Sprintf("instance-%d", len(w.instances)), i.peer.Zone) }
 	},
+	// LoseZone ends every machine of a zone without a word to the platform's list.
+	"LoseZone": func(w *world, f fault) func() {
+		z := w.zones[f.Target%len(w.zones)]
+		for _, i := range w.instances {
+			i.ended = i.ended || i.peer.Zone == z
+			i.gone = i.gone || i.peer.Zone == z
+		}
+		for _, s := range w.servers {
+			s.ended = s.ended || s.info.Zone == z
+			s.gone = s.gone || s.info.Zone == z
+		}
+		return func() {}
+	},
 	"StopInstance": func(w *world, f fault) func() {
 		i := w.instances[f.Target%len(w.instances)]
 		if i.ended || i.paused {
@@ -122,7 +135,8 @@
 		w.delay = 4 * time.Second
 		return func() { w.delay = 0 }
 	},
-	"ZoneOut": setZone(configurer.ZoneOut),
+	"ZoneOut":  setZone(configurer.ZoneOut),
+	"ZoneLost": setZone(configurer.ZoneLost),
 	"PinKey": changeTree(func(t *configurer.Tree, f fault) error {
 		return t.Pin(worldService.Service, otherKeys[f.Target%len(otherKeys)])
 	}, func(t *configurer.Tree, f fault) error {
