--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -76,7 +76,7 @@
 func New(cfg Config) *Admitter {
 	a := &Admitter{running: map[ID]bool{}, flows: map[Flow][]waiting{}}
 	a.Configure(cfg)
-	a.chill()
+	a.markCold()
 	return a
 }
 
@@ -162,7 +162,7 @@
 	case Shed, Slow:
 		a.shrink(now)
 	case Broke:
-		a.chill()
+		a.markCold()
 	}
 	return a.Next(now)
 }
@@ -240,8 +240,8 @@
 	a.work = 0
 }
 
-// chill starts the ramp of a cold server again.
-func (a *Admitter) chill() {
+// markCold starts the ramp of a cold server again.
+func (a *Admitter) markCold() {
 	a.cold = true
 	a.work = 0
 	a.limit = float64(min(a.cfg.ColdSlots, a.cfg.Slots))
@@ -251,14 +251,14 @@
 func (a *Admitter) SeeProcess(inc identifier.Incarnation) {
 	if inc != a.process {
 		a.process = inc
-		a.chill()
+		a.markCold()
 	}
 }
 
 // SeeCold takes in that the server says of itself that it is cold.
 func (a *Admitter) SeeCold() {
 	if !a.cold {
-		a.chill()
+		a.markCold()
 	}
 }
 
--- a/answerer/answerer.go
+++ b/answerer/answerer.go
@@ -56,8 +56,8 @@
 	return Answer{Outcome: NotRun, Code: c, Detail: detail}
 }
 
-// Doubt returns the answer to a request that may or may not have run.
-func Doubt(c Code, detail string) Answer {
+// Indeterminate returns the answer to a request that may or may not have run.
+func Indeterminate(c Code, detail string) Answer {
 	return Answer{Outcome: Unknown, Code: c, Detail: detail}
 }
 
--- a/answerer/code.go
+++ b/answerer/code.go
@@ -32,9 +32,7 @@
 	CodeQueueFull          Code = 3001
 	CodeExpired            Code = 3002
 	CodeShed               Code = 3003
-	CodeShuttingDown       Code = 3004
 	CodeQuarantined        Code = 3005
-	CodeZoneOut            Code = 3006
 	CodeNotRecorded        Code = 3007
 	CodeJournalFull        Code = 3008
 	CodeRequestIDTooOld    Code = 3009
@@ -47,10 +45,7 @@
 	CodeAnswerTooLarge     Code = 4006
 	CodeTimedOut           Code = 4007
 	CodeBadPeerMessage     Code = 5001
-	CodeBadObject          Code = 5002
 	CodePlatformDown       Code = 5003
-	CodeConflict           Code = 5004
-	CodeBadSetting         Code = 5005
 )
 
 // Meaning is one row of the table of result codes.
@@ -82,9 +77,7 @@
 	{CodeQueueFull, "QueueFull", http.StatusTooManyRequests, "The backend server's queue is full."},
 	{CodeExpired, "Expired", http.StatusGatewayTimeout, "The deadline passed before the request was sent."},
 	{CodeShed, "Shed", http.StatusTooManyRequests, "The backend server shed the request before running it."},
-	{CodeShuttingDown, "ShuttingDown", http.StatusServiceUnavailable, "The instance is shutting down."},
 	{CodeQuarantined, "Quarantined", http.StatusUnprocessableEntity, "Requests like this one have crashed backend servers."},
-	{CodeZoneOut, "ZoneOut", http.StatusServiceUnavailable, "The availability zone is taken out."},
 	{CodeNotRecorded, "NotRecorded", http.StatusServiceUnavailable, "The platform does not answer, so a request that may not be repeated cannot be recorded."},
 	{CodeJournalFull, "JournalFull", http.StatusServiceUnavailable, "The journal has no room for a request that may not be repeated."},
 	{CodeRequestIDTooOld, "RequestIDTooOld", http.StatusConflict, "The Idempotency-Key is older than outcomes are kept."},
@@ -97,10 +90,7 @@
 	{CodeTimedOut, "TimedOut", http.StatusGatewayTimeout, "The deadline passed while the request ran."},
 	{CodeInDoubt, "InDoubt", http.StatusConflict, "A request with this Idempotency-Key may have run before; it is not run again."},
 	{CodeBadPeerMessage, "BadPeerMessage", http.StatusBadGateway, "A message of another instance does not decode; it was dropped."},
-	{CodeBadObject, "BadObject", http.StatusInternalServerError, "An object on the platform does not decode; the last good state is kept."},
 	{CodePlatformDown, "PlatformDown", http.StatusServiceUnavailable, "The platform does not answer."},
-	{CodeConflict, "Conflict", http.StatusConflict, "Somebody else changed the object first."},
-	{CodeBadSetting, "BadSetting", http.StatusBadRequest, "A setting's value is not valid."},
 }
 
 var byCode = func() map[Code]Meaning {
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -14,7 +14,6 @@
 	"slices"
 	"time"
 
-	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/partitioner"
@@ -164,96 +163,6 @@
 	return nil
 }
 
-func (a *Assigner) seeAssignment(now time.Time, e AssignmentSeen) {
-	if e.Version <= a.version {
-		return
-	}
-	a.version, a.assignment = e.Version, e.Assignment
-	present := map[identifier.Partition]mark{}
-	for _, p := range e.Assignment.Moving() {
-		_, epoch, _ := e.Assignment.Owner(p)
-		g := granter.Grant{Partition: p, Epoch: epoch}
-		m, known := a.marks[p]
-		if !known || m.grant != g {
-			m = mark{g, e.Version, now}
-		}
-		present[p] = m
-	}
-	a.marks = present
-}
-
-func (a *Assigner) seeRoster(now time.Time, e RosterSeen) {
-	if e.Version <= a.rosters[e.Zone].version {
-		return
-	}
-	a.rosters[e.Zone] = rosterView{e.Version, e.Roster}
-	for _, m := range e.Roster.Members {
-		h := granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}
-		if _, known := a.fencedAt[h]; m.Fenced && !known {
-			a.fencedAt[h] = now
-		}
-	}
-	a.promises.prune(a.enrolled)
-}
-
-// holdOf returns how long a fenced process of a zone may still grant.
-func (a *Assigner) holdOf(z identifier.Zone) time.Duration {
-	if a.settings.Zones[z] == configurer.ZoneLost {
-		return 0
-	}
-	return a.settings.IsolationHold
-}
-
-func (a *Assigner) enrolled(h granter.Holder) bool {
-	for _, view := range a.rosters {
-		if _, ok := view.roster.Find(h.Instance, h.Incarnation); ok {
-			return true
-		}
-	}
-	return false
-}
-
-func (a *Assigner) seeList(now time.Time, e ListSeen) {
-	for _, s := range a.servers {
-		s.listed = false
-	}
-	for _, info := range e.Servers {
-		s, ok := a.servers[info.ID]
-		if !ok {
-			s = &serverState{}
-			a.servers[info.ID] = s
-		}
-		s.info, s.listed = info, true
-	}
-	if e.At.After(a.listAt) {
-		a.listAt = e.At
-		a.seeAbsent(now, e.Instances)
-	}
-}
-
-// seeAbsent takes note of granters that a newly read list lacks.
-func (a *Assigner) seeAbsent(now time.Time, listed []identifier.Instance) {
-	for _, view := range a.rosters {
-		for _, m := range view.roster.Members {
-			if _, known := a.absent[m.Instance]; !known {
-				a.absent[m.Instance] = now
-			}
-		}
-	}
-	for _, i := range listed {
-		delete(a.absent, i)
-	}
-}
-
-func (a *Assigner) seeReport(now time.Time, r granter.Report) {
-	for _, sr := range r.Servers {
-		if s, ok := a.servers[sr.Server]; ok {
-			s.report, s.reportAt = sr, now
-		}
-	}
-	a.loads.take(r.Loads)
-}
-
 // wrote takes in the end of a write. One that did not take effect is not tried
 // again at once, so that an assigner does not spin on a platform that is down.
 func (a *Assigner) wrote(now time.Time, e Wrote) {
@@ -292,7 +201,7 @@
 	if a.ledSince.IsZero() {
 		a.ledSince = now
 	}
-	actions := a.tendRosters(now)
+	actions := a.updateRosters(now)
 	if now.Sub(a.writingAt) < writeTimeout {
 		return actions
 	}
@@ -350,119 +259,3 @@
 	}
 	return led >= a.cfg.Settle
 }
-
-// finish commits the marked partitions whose old grants are all over, to servers
-// that can take them now.
-func (a *Assigner) finish(now time.Time, next *partitioner.Assignment) bool {
-	changed := false
-	servers := a.candidates(now)
-	for _, p := range next.Moving() {
-		if !a.over(now, a.marks[p]) {
-			continue
-		}
-		if to, _ := next.Next(p); a.receives(servers, to) {
-			changed = next.Commit(p) == nil || changed
-			continue
-		}
-		if redirect(next, p, servers) {
-			_ = next.Commit(p) // It fails if the mark was taken back.
-			changed = true
-		}
-	}
-	return changed
-}
-
-// over reports whether no grant of a marked partition is or can come in force.
-func (a *Assigner) over(now time.Time, m mark) bool {
-	owner, _, ok := a.assignment.Owner(m.grant.Partition)
-	if !ok {
-		return false
-	}
-	zone := a.zoneOf(owner)
-	return a.promised(now, m) && a.promises.over(now, m.grant, a.rosters[zone].roster.Members)
-}
-
-// promised reports whether every process that could grant a marked partition has
-// promised not to, and none can join that has not.
-func (a *Assigner) promised(now time.Time, m mark) bool {
-	owner, _, _ := a.assignment.Owner(m.grant.Partition)
-	zone := a.zoneOf(owner)
-	view, ok := a.rosters[zone]
-	if !ok || view.roster.Floors[a.cfg.Service] < m.version {
-		return false
-	}
-	return a.promises.given(m.version, view.roster.Members, func(member granter.Member) bool {
-		return a.excused(now, zone, member)
-	})
-}
-
-// excused reports whether a member of a zone's roster has been fenced for so long
-// that nothing of it is in force.
-func (a *Assigner) excused(now time.Time, z identifier.Zone, m granter.Member) bool {
-	at, known := a.fencedAt[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
-	return m.Fenced && known && now.Sub(at) >= a.holdOf(z)+a.cfg.Grace
-}
-
-func (a *Assigner) zoneOf(b identifier.BackendServer) identifier.Zone {
-	for _, s := range a.assignment.Servers() {
-		if s.ID == b {
-			return s.Zone
-		}
-	}
-	return ""
-}
-
-// revise redirects marks whose next owner may keep nothing any more, and takes back
-// those that wait for long though their owner answers.
-func (a *Assigner) revise(now time.Time, next *partitioner.Assignment) bool {
-	changed := false
-	servers := a.candidates(now)
-	for _, p := range next.Moving() {
-		m := a.marks[p]
-		owner, _, _ := next.Owner(p)
-		to, _ := next.Next(p)
-		if now.Sub(m.seenAt) >= abortAfter && a.answers(now, owner) && !a.promised(now, m) {
-			changed = next.Abort(p) == nil || changed
-			continue
-		}
-		if a.evacuates(servers, to) {
-			changed = redirect(next, p, servers) || changed
-		}
-	}
-	return changed
-}
-
-// redirect names another next owner for a marked partition. Without one the mark is
-// taken back, if the present owner may keep the partition.
-func redirect(next *partitioner.Assignment, p identifier.Partition, servers []Candidate) bool {
-	owner, _, _ := next.Owner(p)
-	stays := false
-	for _, c := range servers {
-		if c.ID == owner {
-			stays = !c.Evacuate
-			continue
-		}
-		if c.Receive && !c.Evacuate {
-			return next.Redirect(p, c.Server) == nil
-		}
-	}
-	return stays && next.Abort(p) == nil
-}
-
-// answers reports whether a listed backend server is known to answer.
-func (a *Assigner) answers(now time.Time, b identifier.BackendServer) bool {
-	s, known := a.servers[b]
-	return known && s.listed && a.reported(now, s) && s.report.Silent < a.cfg.DownAfter
-}
-
-func (a *Assigner) reported(now time.Time, s *serverState) bool {
-	return !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportFresh
-}
-
-func (a *Assigner) receives(servers []Candidate, b identifier.BackendServer) bool {
-	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Receive })
-}
-
-func (a *Assigner) evacuates(servers []Candidate, b identifier.BackendServer) bool {
-	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Evacuate })
-}
--- a/assigner/pins.go
+++ b/assigner/pins.go
@@ -22,9 +22,9 @@
 	leastHotRate = 20
 )
 
-// tendPins gives the keys that the settings name, and those that are found hot, a
+// updatePins gives the keys that the settings name, and those that are found hot, a
 // partition of their own, and takes it from those that are neither any more.
-func (a *Assigner) tendPins(now time.Time, next *partitioner.Assignment) bool {
+func (a *Assigner) updatePins(now time.Time, next *partitioner.Assignment) bool {
 	if now.Sub(a.pinnedAt) < pinEvery {
 		return false
 	}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -17,7 +17,7 @@
 	seen := map[identifier.BackendServer]bool{}
 	for id, s := range a.servers {
 		seen[id] = true
-		all = append(all, a.judge(now, s))
+		all = append(all, a.evaluate(now, s))
 	}
 	if a.assignment != nil {
 		for _, s := range a.assignment.Servers() {
@@ -35,9 +35,9 @@
 	return all
 }
 
-// judge says what a backend server may keep and be given. A server that nobody
+// evaluate says what a backend server may keep and be given. A server that nobody
 // reports on is left as it is: its zone may be cut off and go on serving.
-func (a *Assigner) judge(now time.Time, s *serverState) Candidate {
+func (a *Assigner) evaluate(now time.Time, s *serverState) Candidate {
 	c := Candidate{Server: s.info.Server}
 	zone := a.settings.Zones[s.info.Zone]
 	fresh := a.reported(now, s)
@@ -93,7 +93,7 @@
 			changed = true
 		}
 	}
-	return a.tendPins(now, next) || changed
+	return a.updatePins(now, next) || changed
 }
 
 // apply places or marks one partition. A move from a server that still serves is
@@ -129,95 +129,3 @@
 	}
 	return true
 }
-
-// tendRosters raises the floors that marks need, fences granters that a move cannot
-// wait for, and takes off those whose instance has ended.
-func (a *Assigner) tendRosters(now time.Time) []Action {
-	var actions []Action
-	for _, z := range a.rosterZones() {
-		if now.Sub(a.rosterAt[z]) < writeTimeout {
-			continue
-		}
-		view := a.rosters[z]
-		roster := view.roster.Clone()
-		changed := a.raiseFloor(z, &roster)
-		changed = a.fence(now, z, &roster) || changed
-		changed = a.removeEnded(now, z, &roster) || changed
-		if changed {
-			a.rosterAt[z] = now
-			actions = append(actions, PutRoster{z, view.version, roster})
-		}
-	}
-	return actions
-}
-
-// rosterZones returns the zones of the servers that own partitions, sorted.
-func (a *Assigner) rosterZones() []identifier.Zone {
-	if a.assignment == nil {
-		return nil
-	}
-	var zones []identifier.Zone
-	for _, s := range a.assignment.Servers() {
-		zones = append(zones, s.Zone)
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
-
-func (a *Assigner) raiseFloor(z identifier.Zone, r *granter.Roster) bool {
-	var highest identifier.Version
-	for p, m := range a.marks {
-		if owner, _, _ := a.assignment.Owner(p); a.zoneOf(owner) == z {
-			highest = max(highest, m.version)
-		}
-	}
-	if r.Floors[a.cfg.Service] >= highest {
-		return false
-	}
-	r.RaiseFloor(a.cfg.Service, highest)
-	return true
-}
-
-// fence forbids granting to the processes of a lost zone, and, if the service's
-// IsolationHold is finite, to those that leave a mark waiting.
-func (a *Assigner) fence(now time.Time, z identifier.Zone, r *granter.Roster) bool {
-	lost := a.settings.Zones[z] == configurer.ZoneLost
-	waiting := a.settings.IsolationHold > 0 && a.waits(now, z)
-	changed := false
-	for _, m := range r.Members {
-		_, answers := a.live[m.Instance]
-		silent := !answers && m.Instance != a.cfg.Self
-		if !m.Fenced && (lost || waiting && silent) {
-			r.Fence(m.Instance, m.Incarnation)
-			changed = true
-		}
-	}
-	return changed
-}
-
-// waits reports whether a mark of a zone has waited for longer than fenceAfter.
-func (a *Assigner) waits(now time.Time, z identifier.Zone) bool {
-	for p, m := range a.marks {
-		owner, _, _ := a.assignment.Owner(p)
-		if now.Sub(m.seenAt) >= fenceAfter && a.zoneOf(owner) == z {
-			return true
-		}
-	}
-	return false
-}
-
-// removeEnded takes off the processes of instances that have been off the
-// platform's list for longer than it lags and their last grants last, and fenced
-// processes of which nothing is in force.
-func (a *Assigner) removeEnded(now time.Time, z identifier.Zone, r *granter.Roster) bool {
-	changed := false
-	for _, m := range slices.Clone(r.Members) {
-		since, absent := a.absent[m.Instance]
-		ended := absent && a.listAt.Sub(since) >= a.cfg.ListLag+a.cfg.Grace
-		if ended || a.excused(now, z, m) {
-			r.Remove(m.Instance, m.Incarnation)
-			changed = true
-		}
-	}
-	return changed
-}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -16,10 +16,9 @@
 
 // Exit codes of both programs; docs/CODES.md has them too.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
-	ExitUsage    = 2
-	ExitConflict = 3
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
 )
 
 // environment carries what every command needs.
--- a/configurer/diff.go
+++ b/configurer/diff.go
@@ -1,10 +1,8 @@
 package configurer
 
 import (
-	"errors"
 	"maps"
 	"slices"
-	"strings"
 )
 
 // Difference is a setting that two trees name differently at one level; an empty
@@ -58,39 +56,3 @@
 	}
 	return all
 }
-
-// Touch makes a level that names nothing, if there is none.
-func (t *Tree) Touch(p Path) { t.level(p) }
-
-// SetUnchecked names a setting at a level without checking the tree as a whole, for
-// changes that are only right together. Check must follow.
-func (t *Tree) SetUnchecked(p Path, field, value string) error {
-	f, err := FieldByName(field)
-	if err != nil {
-		return err
-	}
-	if err := f.set(t.level(p), value); err != nil {
-		var invalid *FieldError
-		if errors.As(err, &invalid) {
-			invalid.Path = p.String()
-		}
-		return err
-	}
-	return nil
-}
-
-// String returns the path as organisation/service/zone.
-func (p Path) String() string {
-	return strings.TrimRight(strings.Join([]string{string(p.Organisation), string(p.Service), string(p.Zone)}, "/"), "/")
-}
-
-// Table returns the table of settings as a Markdown table; flag gives the name of a
-// setting's flag.
-func Table(flag func(field string) string) string {
-	var b strings.Builder
-	b.WriteString("| Setting | Flag | Default | Rule | Meaning |\n|---|---|---|---|---|\n")
-	for _, f := range Fields {
-		b.WriteString("| " + strings.Join([]string{f.Name, "`--" + flag(f.Name) + "`", f.Default, f.Rule, f.Help}, " | ") + " |\n")
-	}
-	return b.String()
-}
--- /dev/null
+++ b/configurer/path.go
@@ -0,0 +1,128 @@
+package configurer
+
+import (
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+// Path names a level of the tree; Service and Zone may be empty.
+type Path struct {
+	Organisation identifier.Organisation
+	Service      identifier.Service
+	Zone         identifier.Zone
+}
+
+// level returns the values of a level, which it makes if need be.
+func (t *Tree) level(p Path) *Values {
+	if p.Service == "" {
+		return &t.Values
+	}
+	s := t.service(p.Service)
+	if p.Zone == "" {
+		return &s.Values
+	}
+	if s.Zones == nil {
+		s.Zones = map[identifier.Zone]*Zone{}
+	}
+	if s.Zones[p.Zone] == nil {
+		s.Zones[p.Zone] = &Zone{}
+	}
+	return &s.Zones[p.Zone].Values
+}
+
+func (t *Tree) service(name identifier.Service) *Service {
+	if t.Services[name] == nil {
+		t.Services[name] = &Service{}
+	}
+	return t.Services[name]
+}
+
+// Set names a setting at a level.
+func (t *Tree) Set(p Path, field, value string) error {
+	if err := t.SetUnchecked(p, field, value); err != nil {
+		return err
+	}
+	return t.Check()
+}
+
+// Unset takes a setting from a level, which then inherits it.
+func (t *Tree) Unset(p Path, field string) error {
+	f, err := FieldByName(field)
+	if err != nil {
+		return err
+	}
+	f.clear(t.level(p))
+	return t.Check()
+}
+
+// Drain says whether a backend server is to be drained.
+func (t *Tree) Drain(name identifier.Service, b identifier.BackendServer, drained bool) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	if s.Servers == nil {
+		s.Servers = map[identifier.BackendServer]*Server{}
+	}
+	s.Servers[b] = &Server{Drained: drained}
+	if !drained {
+		delete(s.Servers, b)
+	}
+	return t.Check()
+}
+
+// Pin gives a hot key of a service a partition of its own.
+func (t *Tree) Pin(name identifier.Service, k identifier.Key) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	if !slices.Contains(s.Pins, k) {
+		s.Pins = append(s.Pins, k)
+	}
+	return t.Check()
+}
+
+// Unpin takes a key from the pins of a service.
+func (t *Tree) Unpin(name identifier.Service, k identifier.Key) error {
+	s, ok := t.Services[name]
+	if !ok {
+		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
+	}
+	s.Pins = slices.DeleteFunc(s.Pins, func(pinned identifier.Key) bool { return pinned == k })
+	return t.Check()
+}
+
+// Drained reports whether operators drain a backend server.
+func (t *Tree) Drained(name identifier.Service, b identifier.BackendServer) bool {
+	s, ok := t.Services[name]
+	return ok && s.Servers[b] != nil && s.Servers[b].Drained
+}
+
+// Touch makes a level that names nothing, if there is none.
+func (t *Tree) Touch(p Path) { t.level(p) }
+
+// SetUnchecked names a setting at a level without checking the tree as a whole, for
+// changes that are only right together. Check must follow.
+func (t *Tree) SetUnchecked(p Path, field, value string) error {
+	f, err := FieldByName(field)
+	if err != nil {
+		return err
+	}
+	if err := f.set(t.level(p), value); err != nil {
+		var invalid *FieldError
+		if errors.As(err, &invalid) {
+			invalid.Path = p.String()
+		}
+		return err
+	}
+	return nil
+}
+
+// String returns the path as organisation/service/zone.
+func (p Path) String() string {
+	return strings.TrimRight(strings.Join([]string{string(p.Organisation), string(p.Service), string(p.Zone)}, "/"), "/")
+}
--- a/controller/document.go
+++ b/controller/document.go
@@ -56,15 +56,15 @@
 	record  assigner.Record
 }
 
-// strangeDocument is an object of a name that this version does not know.
-type strangeDocument struct{}
+// unknownDocument is an object of a name that this version does not know.
+type unknownDocument struct{}
 
 func (settingsDocument) document()   {}
 func (zonesDocument) document()      {}
 func (assignmentDocument) document() {}
 func (rosterDocument) document()     {}
 func (recordDocument) document()     {}
-func (strangeDocument) document()    {}
+func (unknownDocument) document()    {}
 
 // decode reads an object by its name.
 func decode(o storer.Object) (document, error) {
@@ -88,7 +88,7 @@
 		r, err := assigner.DecodeRecord(o.Data)
 		return recordDocument{serviceOf(o.Name, assignersPrefix), r}, err
 	}
-	return strangeDocument{}, nil
+	return unknownDocument{}, nil
 }
 
 func serviceOf(name, prefix string) identifier.ServiceName {
--- a/controller/message_test.go
+++ b/controller/message_test.go
@@ -40,7 +40,7 @@
 	self := prober.Peer{Instance: "instance-0", Zone: "zone-0", Address: "127.0.0.1:1"}
 	other := prober.Peer{Instance: "instance-1", Zone: "zone-0", Address: "127.0.0.1:2"}
 	seeds := []Message{
-		ProbeMessage{prober.Message{Number: 1, News: []prober.News{{Peer: other, Status: prober.Dead}}}},
+		ProbeMessage{prober.Message{Number: 1, Updates: []prober.Update{{Peer: other, Status: prober.Dead}}}},
 		HandOverMessage{granter.HandOver{Server: "server-0", Term: 1}},
 		ConfirmMessage{granter.Confirm{Instance: "instance-1", Grants: []granter.Outstanding{{Remaining: -1}}}},
 		FetchMessage{Since: 3},
--- a/controller/replica.go
+++ b/controller/replica.go
@@ -116,7 +116,7 @@
 	case recordDocument:
 		c.assign(now, d.service, assigner.RecordSeen{Version: v, Record: d.record})
 		c.do(Noted{"AssignerChanged", d.service.String() + ": " + string(d.record.Holder)})
-	case strangeDocument:
+	case unknownDocument:
 	}
 }
 
--- a/controller/view.go
+++ b/controller/view.go
@@ -29,7 +29,7 @@
 func (c *Controller) Drained() bool { return c.granter.Drained() }
 
 // Members returns what is known of all other instances.
-func (c *Controller) Members() []prober.News { return c.prober.Members() }
+func (c *Controller) Members() []prober.Update { return c.prober.Members() }
 
 // Live returns the addresses of the live instances, without this one.
 func (c *Controller) Live() map[identifier.Instance]string {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,12 +45,12 @@
 	loads  *loads
 
 	mu     sync.Mutex
-	lines  map[identifier.BackendServer]*line
+	queues map[identifier.BackendServer]*queue
 	nextID admitter.ID
 }
 
-// line is the queue of one backend server, with those who wait in it.
-type line struct {
+// queue is the queue of one backend server, with those who wait in it.
+type queue struct {
 	admitter *admitter.Admitter
 	waiting  map[admitter.ID]chan bool // Receives true to start, false when expired.
 	running  map[admitter.ID]running
@@ -67,7 +67,7 @@
 
 // New returns a Coordinator that coordinates nothing yet.
 func New(s Sender, g Guard, clock func() time.Time) *Coordinator {
-	c := &Coordinator{sender: s, guard: g, clock: clock, loads: newLoads(), lines: map[identifier.BackendServer]*line{}}
+	c := &Coordinator{sender: s, guard: g, clock: clock, loads: newLoads(), queues: map[identifier.BackendServer]*queue{}}
 	c.view.Store(&View{})
 	return c
 }
@@ -80,23 +80,23 @@
 	for id, held := range v.Held {
 		c.tune(id, held, v)
 	}
-	for id, l := range c.lines {
-		if _, ok := v.Held[id]; !ok && len(l.waiting) == 0 && l.admitter.State().Running == 0 {
-			delete(c.lines, id)
+	for id, q := range c.queues {
+		if _, ok := v.Held[id]; !ok && len(q.waiting) == 0 && q.admitter.State().Running == 0 {
+			delete(c.queues, id)
 		}
 	}
-	for id, l := range c.lines {
-		l.cancelLost(v.Held[id])
+	for id, q := range c.queues {
+		q.cancelLost(v.Held[id])
 	}
 }
 
 // cancelLost ends the waits for requests whose key another server owns by now: the
 // server's lease is over, and an idempotent request can be sent to the new owner.
-func (l *line) cancelLost(held granter.Held) {
+func (q *queue) cancelLost(held granter.Held) {
 	if held.Assignment == nil {
 		return
 	}
-	for _, r := range l.running {
+	for _, r := range q.running {
 		owner, _, _ := held.Assignment.Owner(held.Assignment.PartitionOf(r.key))
 		if owner != held.Server.ID {
 			r.cancel(errLostKey)
@@ -110,15 +110,15 @@
 		return
 	}
 	cfg := admitter.Config{Slots: s.Slots, ColdSlots: s.ColdSlots, QueueLength: s.QueueLength}
-	l, ok := c.lines[id]
+	q, ok := c.queues[id]
 	if !ok {
-		l = &line{admitter.New(cfg), map[admitter.ID]chan bool{}, map[admitter.ID]running{}}
-		c.lines[id] = l
+		q = &queue{admitter.New(cfg), map[admitter.ID]chan bool{}, map[admitter.ID]running{}}
+		c.queues[id] = q
 	}
-	l.admitter.Configure(cfg)
-	l.admitter.SeeProcess(held.Process)
+	q.admitter.Configure(cfg)
+	q.admitter.SeeProcess(held.Process)
 	if held.State == granter.ServerCold {
-		l.admitter.SeeCold()
+		q.admitter.SeeCold()
 	}
 }
 
@@ -146,14 +146,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, ok := c.lines[r.Server]
+	q, ok := c.queues[r.Server]
 	if !ok {
 		return ctx, func() { cancel(nil) }
 	}
-	l.running[id] = running{r.Key, cancel}
+	q.running[id] = running{r.Key, cancel}
 	return ctx, func() {
 		c.mu.Lock()
-		delete(l.running, id)
+		delete(q.running, id)
 		c.mu.Unlock()
 		cancel(nil)
 	}
@@ -193,58 +193,6 @@
 	return &a
 }
 
-// admit waits for a slot of the server.
-func (c *Coordinator) admit(ctx context.Context, r answerer.Request, deadline time.Time) (admitter.ID, *answerer.Answer) {
-	c.mu.Lock()
-	l, ok := c.lines[r.Server]
-	if !ok {
-		c.mu.Unlock()
-		return 0, refuse(answerer.CodeNotCoordinator, string(r.Server))
-	}
-	c.nextID++
-	id := c.nextID
-	flow := admitter.Flow{Organisation: r.Service.Organisation, Key: r.Key}
-	verdict := l.admitter.Arrive(c.clock(), id, flow, deadline)
-	var turn chan bool
-	if verdict == admitter.Wait {
-		turn = make(chan bool, 1)
-		l.waiting[id] = turn
-	}
-	c.mu.Unlock()
-	switch verdict {
-	case admitter.Start:
-		return id, nil
-	case admitter.Wait:
-		return id, c.wait(ctx, r.Server, l, id, turn)
-	case admitter.Full:
-		return 0, refuse(answerer.CodeQueueFull, string(r.Server))
-	case admitter.Expired:
-	}
-	return 0, refuse(answerer.CodeExpired, "before it was queued")
-}
-
-func (c *Coordinator) wait(ctx context.Context, b identifier.BackendServer, l *line, id admitter.ID, turn chan bool) *answerer.Answer {
-	select {
-	case start := <-turn:
-		if start {
-			return nil
-		}
-		return refuse(answerer.CodeExpired, "while it was queued")
-	case <-ctx.Done():
-	}
-	c.mu.Lock()
-	waited := l.admitter.Cancel(id)
-	delete(l.waiting, id)
-	c.mu.Unlock()
-	if !waited && <-turn {
-		c.done(b, id, admitter.Completed) // Its turn came meanwhile; give the slot back.
-	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return refuse(answerer.CodeExpired, "while it was queued")
-	}
-	return refuse(answerer.CodeCancelled, "while it was queued")
-}
-
 // run sends a request whose turn has come, unless the server has lost the key or
 // the deadline has passed meanwhile.
 func (c *Coordinator) run(ctx context.Context, r answerer.Request, deadline time.Time) answerer.Answer {
@@ -266,7 +214,7 @@
 	maxBody := c.view.Load().Settings[r.Service].MaxBodyBytes
 	answer := c.sender.Send(ctx, p.held.Server.Address, r, f, maxBody)
 	if answer.Outcome == answerer.Unknown && errors.Is(context.Cause(ctx), errLostKey) {
-		return answerer.Doubt(answerer.CodeFenced, errLostKey.Error())
+		return answerer.Indeterminate(answerer.CodeFenced, errLostKey.Error())
 	}
 	c.learn(r, answer)
 	return answer
@@ -294,49 +242,13 @@
 	return admitter.Completed
 }
 
-// done gives a slot back and starts who is next.
-func (c *Coordinator) done(b identifier.BackendServer, id admitter.ID, r admitter.Result) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l, ok := c.lines[b]
-	if !ok {
-		return
-	}
-	c.wake(l, l.admitter.Done(c.clock(), id, r))
-}
-
-func (c *Coordinator) wake(l *line, d admitter.Decision) {
-	for _, id := range d.Start {
-		l.tell(id, true)
-	}
-	for _, id := range d.Expired {
-		l.tell(id, false)
-	}
-}
-
-func (l *line) tell(id admitter.ID, start bool) {
-	if turn, ok := l.waiting[id]; ok {
-		delete(l.waiting, id)
-		turn <- start
-	}
-}
-
-// Expire answers the requests whose deadline passed while they waited.
-func (c *Coordinator) Expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, l := range c.lines {
-		c.wake(l, l.admitter.Next(c.clock()))
-	}
-}
-
-// State returns a view of each server's line, for dumps.
+// State returns a view of each server's queue, for dumps.
 func (c *Coordinator) State() map[identifier.BackendServer]admitter.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	states := make(map[identifier.BackendServer]admitter.State, len(c.lines))
-	for id, l := range c.lines {
-		states[id] = l.admitter.State()
+	states := make(map[identifier.BackendServer]admitter.State, len(c.queues))
+	for id, q := range c.queues {
+		states[id] = q.admitter.State()
 	}
 	return states
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -134,20 +134,20 @@
 	}
 	verdict, ticket := d.recorder.Begin(ctx, r, s.Settings)
 	if verdict.Decision != journaler.Run {
-		return decided(verdict)
+		return refusalOf(verdict)
 	}
 	answer := d.attempts(ctx, r, deadline)
 	d.recorder.End(ctx, ticket, answer)
 	return answer
 }
 
-// decided returns the answer to a request that is not run now.
-func decided(v journaler.Verdict) answerer.Answer {
+// refusalOf returns the answer to a request that is not run now.
+func refusalOf(v journaler.Verdict) answerer.Answer {
 	switch v.Decision {
 	case journaler.Repeated:
 		return v.Answer
 	case journaler.InDoubt:
-		return answerer.Doubt(answerer.CodeInDoubt, "it may have run before")
+		return answerer.Indeterminate(answerer.CodeInDoubt, "it may have run before")
 	case journaler.Reused:
 		return answerer.Refuse(answerer.CodeRequestIDReused, "the ID was used for another request")
 	case journaler.Late:
@@ -155,7 +155,7 @@
 	case journaler.Overfull:
 		return answerer.Refuse(answerer.CodeJournalFull, "send it again later")
 	case journaler.TooOld:
-		return answerer.Doubt(answerer.CodeRequestIDTooOld, "its outcome is not kept any more")
+		return answerer.Indeterminate(answerer.CodeRequestIDTooOld, "its outcome is not kept any more")
 	case journaler.Run, journaler.Unavailable:
 	}
 	return answerer.Refuse(answerer.CodeNotRecorded, "the platform does not answer")
@@ -272,7 +272,7 @@
 	}
 	var answer answerer.Answer
 	if err := cbor.Unmarshal(reply, &answer); err != nil || !answer.Outcome.Valid() {
-		return answerer.Doubt(answerer.CodeBadPeerMessage, string(to))
+		return answerer.Indeterminate(answerer.CodeBadPeerMessage, string(to))
 	}
 	return answer
 }
@@ -283,9 +283,9 @@
 		return answerer.Refuse(answerer.CodePeerUnreachable, err.Error())
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return answerer.Doubt(answerer.CodeCancelled, "the caller went away")
+		return answerer.Indeterminate(answerer.CodeCancelled, "the caller went away")
 	}
-	return answerer.Doubt(answerer.CodePeerBroke, err.Error())
+	return answerer.Indeterminate(answerer.CodePeerBroke, err.Error())
 }
 
 // Serve answers another instance's encoded request.
--- a/dispatcher/stragglers_test.go
+++ b/dispatcher/stragglers_test.go
@@ -45,7 +45,7 @@
 	case <-t.C:
 		return answerer.Answer{Outcome: answerer.Ran, Status: 200}
 	case <-ctx.Done():
-		return answerer.Doubt(answerer.CodeCancelled, "")
+		return answerer.Indeterminate(answerer.CodeCancelled, "")
 	}
 }
 
--- a/granter/coordination.go
+++ b/granter/coordination.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// settle takes note of what an accepted order has revoked for good.
-func (c *coordination) settle(as *partitioner.Assignment, o Order, a OrderAnswer) {
+// recordRevocations takes note of what an accepted order has revoked for good.
+func (c *coordination) recordRevocations(as *partitioner.Assignment, o Order, a OrderAnswer) {
 	for _, g := range o.Revokes {
 		busy := slices.ContainsFunc(a.Running, func(r Grant) bool { return overlaps(as, g, r) })
 		if !busy {
@@ -123,7 +123,7 @@
 	return other.Epoch < e
 }
 
-func (c *coordination) forget(now time.Time) {
+func (c *coordination) expire(now time.Time) {
 	for id, until := range c.outstanding {
 		if !until.After(now) {
 			delete(c.outstanding, id)
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -11,7 +11,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/turmericlift/turmericlift/identifier"
@@ -51,9 +50,9 @@
 // coordinates or that does not answer.
 const askAgain = 250 * time.Millisecond
 
-// guestAfter is how long a zone has no granter of its own before an instance of
+// remoteAfter is how long a zone has no granter of its own before an instance of
 // another zone stands in.
-const guestAfter = 3 * time.Second
+const remoteAfter = 3 * time.Second
 
 // drainPoll is the time between two orders while revoked requests still run.
 const drainPoll = 50 * time.Millisecond
@@ -216,7 +215,7 @@
 func (g *Granter) tick(now time.Time) []Action {
 	var actions []Action
 	for _, c := range g.sorted() {
-		c.forget(now)
+		c.expire(now)
 		actions = append(actions, g.drive(now, c)...)
 	}
 	if now.Sub(g.confirmAt) >= confirmAgain {
@@ -229,18 +228,7 @@
 		g.reportAt = now
 		actions = append(actions, g.reports(now)...)
 	}
-	return append(actions, g.enrol(now)...)
-}
-
-func (g *Granter) services() []identifier.ServiceName {
-	names := make([]identifier.ServiceName, 0, len(g.assignments))
-	for s := range g.assignments {
-		names = append(names, s)
-	}
-	slices.SortFunc(names, func(x, y identifier.ServiceName) int {
-		return strings.Compare(x.String(), y.String())
-	})
-	return names
+	return append(actions, g.register(now)...)
 }
 
 // may reports whether this process may grant to a server now.
@@ -269,197 +257,19 @@
 // Rank returns the instance that should coordinate a server of a zone: among the
 // live ones on the zone's roster, those of the zone itself before any others.
 func Rank(b identifier.BackendServer, z identifier.Zone, r Roster, live map[identifier.Instance]identifier.Zone) (identifier.Instance, bool) {
-	var natives, guests []identifier.Instance
+	var locals, remotes []identifier.Instance
 	for _, m := range r.Members {
 		zone, ok := live[m.Instance]
 		switch {
 		case !ok || m.Fenced:
 		case zone == z:
-			natives = append(natives, m.Instance)
+			locals = append(locals, m.Instance)
 		default:
-			guests = append(guests, m.Instance)
-		}
-	}
-	if len(natives) > 0 {
-		return ranker.Top(string(b), natives)
-	}
-	return ranker.Top(string(b), guests)
-}
-
-// drive moves one coordination on: ask, claim, renew, hand over or let go.
-func (g *Granter) drive(now time.Time, c *coordination) []Action {
-	if !g.may(now, c) {
-		c.role = idle
-		return nil
-	}
-	if !c.info.ChecksGrants {
-		return g.driveExclusive(now, c)
-	}
-	top, ok := g.top(c)
-	switch {
-	case c.role == holding && ok && top != g.cfg.Self:
-		return append(g.renew(now, c), g.offer(now, c, top)...)
-	case c.role == holding:
-		return g.renew(now, c)
-	case ok && top == g.cfg.Self:
-		return g.ask(now, c)
-	}
-	c.role = idle
-	return nil
-}
-
-// offer hands a server over to the instance that ranks first. The server stays
-// with this one, and is renewed, until the server refuses this one's term.
-func (g *Granter) offer(now time.Time, c *coordination, top identifier.Instance) []Action {
-	if now.Sub(c.offeredAt) < askAgain {
-		return nil
-	}
-	c.offeredAt = now
-	return []Action{SendHandOver{top, HandOver{c.info.ID, c.term}}}
-}
-
-func (g *Granter) ask(now time.Time, c *coordination) []Action {
-	if c.role == idle {
-		c.role = asking
-		c.askedAt = now
-	}
-	if c.inFlight || now.Sub(c.orderAt) < askAgain {
-		return nil
-	}
-	return g.send(now, c, Order{Server: c.info.ID, Coordinator: g.cfg.Self})
-}
-
-func (g *Granter) renew(now time.Time, c *coordination) []Action {
-	if c.inFlight {
-		return nil
-	}
-	due := now.Sub(c.orderAt) >= g.cfg.Renew
-	if !due && !c.dirty {
-		return nil
-	}
-	// An old ticket would give a lease that is nearly over: fetch a new one first.
-	if now.Sub(c.ticketAt) >= g.cfg.Lease/2 {
-		return g.send(now, c, Order{Server: c.info.ID, Coordinator: g.cfg.Self})
-	}
-	c.dirty = false
-	return g.send(now, c, c.build(now, &g.cfg, g.assignments[c.info.Service].assignment))
-}
-
-func (g *Granter) send(now time.Time, c *coordination, o Order) []Action {
-	c.inFlight = true
-	c.orderAt = now
-	return []Action{SendOrder{c.info.Address, o}}
-}
-
-func (g *Granter) handOver(now time.Time, h HandOver) []Action {
-	c, ok := g.servers[h.Server]
-	if !ok || c.role == holding {
-		return nil
-	}
-	c.offered = max(c.offered, h.Term)
-	c.orderAt = time.Time{}
-	return g.drive(now, c)
-}
-
-// answered takes in a backend server's answer, or the lack of one.
-func (g *Granter) answered(now time.Time, e OrderAnswered) []Action {
-	c, ok := g.servers[e.Order.Server]
-	if !ok {
-		return nil
-	}
-	c.inFlight = false
-	if e.Failed {
-		c.dirty = c.role == holding
-		return nil
-	}
-	a := e.Answer
-	c.answeredAt = now
-	c.answer = a
-	c.ticket = a.Ticket
-	c.ticketAt = now
-	switch {
-	case a.Result == Accepted && e.Order.Term == c.term:
-		return g.accepted(now, c, e.Order, a)
-	case a.Result == LowerTerm:
-		c.role = idle
-	case a.Result == StrangeTicket:
-		c.dirty = true
-	case a.Result == StateOnly && c.role == asking:
-		return g.claim(now, c, a)
-	case a.Result == StateOnly && c.role == holding && c.info.ChecksGrants:
-		c.dirty = true
-		return g.drive(now, c)
-	}
-	return nil
-}
-
-func (g *Granter) accepted(now time.Time, c *coordination, o Order, a OrderAnswer) []Action {
-	c.settle(g.assignments[c.info.Service].assignment, o, a)
-	c.validUntil = now.Add(g.cfg.Lease)
-	if len(o.Revokes) == 0 {
-		return nil
-	}
-	if len(a.Running) > 0 {
-		c.orderAt = now.Add(drainPoll - g.cfg.Renew)
-	}
-	return g.confirm(now, c.info.Service)
-}
-
-// claim takes a server over if its coordinator is silent, offered it, or may not
-// grant any more.
-func (g *Granter) claim(now time.Time, c *coordination, a OrderAnswer) []Action {
-	vacant := a.Coordinator == "" || a.Coordinator == g.cfg.Self ||
-		a.CoordinatorAge >= g.cfg.ClaimAfter || c.offered >= a.Term && a.Term > 0
-	if !vacant {
-		return nil
-	}
-	c.role = holding
-	c.term = max(c.term, a.Term) + 1
-	c.sequence = 0
-	c.dirty = true
-	return g.drive(now, c)
-}
-
-// confirm promises what the present version of an assignment asks for.
-func (g *Granter) confirm(now time.Time, s identifier.ServiceName) []Action {
-	view := g.assignments[s]
-	moving := view.assignment.Moving()
-	if len(moving) == 0 {
-		return nil
-	}
-	confirm := Confirm{Service: s, Version: view.version, Instance: g.cfg.Self, Incarnation: g.cfg.Incarnation}
-	for _, p := range moving {
-		owner, e, _ := view.assignment.Owner(p)
-		if c, ok := g.servers[owner]; ok {
-			confirm.Grants = append(confirm.Grants, c.list(now, view.assignment, Grant{p, e})...)
+			remotes = append(remotes, m.Instance)
 		}
 	}
-	return []Action{SendConfirm{confirm}}
-}
-
-// reports tells each assigner of the servers that this instance coordinates.
-func (g *Granter) reports(now time.Time) []Action {
-	byService := map[identifier.ServiceName]*Report{}
-	for _, c := range g.sorted() {
-		if c.role == idle || !c.info.Keyed {
-			continue
-		}
-		r, ok := byService[c.info.Service]
-		if !ok {
-			r = &Report{Service: c.info.Service, Instance: g.cfg.Self, Loads: g.loads[c.info.Service]}
-			byService[c.info.Service] = r
-		}
-		r.Servers = append(r.Servers, ServerReport{
-			Server: c.info.ID, Silent: c.silent(now), State: c.answer.State,
-			Load: c.answer.Load,
-		})
-	}
-	var actions []Action
-	for _, r := range byService {
-		actions = append(actions, SendReport{*r})
+	if len(locals) > 0 {
+		return ranker.Top(string(b), locals)
 	}
-	slices.SortFunc(actions, func(x, y Action) int {
-		return strings.Compare(x.(SendReport).Report.Service.String(), y.(SendReport).Report.Service.String())
-	})
-	return actions
+	return ranker.Top(string(b), remotes)
 }
--- a/granter/order.go
+++ b/granter/order.go
@@ -49,7 +49,7 @@
 	Accepted      Result = "Accepted"
 	LowerTerm     Result = "LowerTerm"     // Another coordinator has the server.
 	LateOrder     Result = "LateOrder"     // A later order of the term came first.
-	StrangeTicket Result = "StrangeTicket" // The ticket is another process's, or is in the future.
+	UnknownTicket Result = "UnknownTicket" // The ticket is another process's, or is in the future.
 	StateOnly     Result = "StateOnly"     // The order had term 0.
 )
 
--- a/granter/enrol.go
+++ b/granter/register.go
@@ -8,10 +8,10 @@
 	"github.com/turmericlift/turmericlift/ranker"
 )
 
-// enrol keeps the rosters right: this process is on the roster of its own zone, and
+// register keeps the rosters right: this process is on the roster of its own zone, and
 // on that of a zone without any granter if it ranks first for it; a process that
 // stops leaves once none of its grants is in force.
-func (g *Granter) enrol(now time.Time) []Action {
+func (g *Granter) register(now time.Time) []Action {
 	var actions []Action
 	for _, z := range g.zones() {
 		view := g.rosters[z]
@@ -44,24 +44,24 @@
 // amend changes a roster as this process wants it and reports whether it did.
 func (g *Granter) amend(now time.Time, z identifier.Zone, r *Roster) bool {
 	changed := g.removeFormer(now, r)
-	_, enrolled := r.Find(g.cfg.Self, g.cfg.Incarnation)
+	_, registered := r.Find(g.cfg.Self, g.cfg.Incarnation)
 	wanted := g.wanted(now, z, r)
 	switch {
-	case enrolled && !r.May(g.cfg.Self, g.cfg.Incarnation):
-		// Fenced: leave once nothing is in force, and enrol anew if still wanted.
+	case registered && !r.May(g.cfg.Self, g.cfg.Incarnation):
+		// Fenced: leave once nothing is in force, and register anew if still wanted.
 		if g.clear(z) {
 			r.Remove(g.cfg.Self, g.cfg.Incarnation)
 			return true
 		}
 		return changed
-	case wanted && !enrolled:
+	case wanted && !registered:
 		r.Add(g.cfg.Self, g.cfg.Incarnation)
 		return true
-	case !wanted && enrolled && g.clear(z):
+	case !wanted && registered && g.clear(z):
 		r.Remove(g.cfg.Self, g.cfg.Incarnation)
 		return true
 	}
-	return enrolled && g.amendHolders(z, r) || changed
+	return registered && g.amendHolders(z, r) || changed
 }
 
 // removeFormer takes the former processes of this instance off a roster, once their
@@ -88,7 +88,7 @@
 	return g.hasServers(z) && g.vacant(now, z, r) && g.firstFor(z)
 }
 
-// vacant reports whether a zone has had no granter of its own for guestAfter. An
+// vacant reports whether a zone has had no granter of its own for remoteAfter. An
 // instance that is not known to be of another zone counts as one of this zone.
 func (g *Granter) vacant(now time.Time, z identifier.Zone, r *Roster) bool {
 	for _, i := range r.Active() {
@@ -102,7 +102,7 @@
 		g.vacantSince[z] = now
 		return false
 	}
-	return now.Sub(since) >= guestAfter
+	return now.Sub(since) >= remoteAfter
 }
 
 func (g *Granter) hasServers(z identifier.Zone) bool {
--- /dev/null
+++ b/granter/report.go
@@ -0,0 +1,64 @@
+package granter
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+// confirm promises what the present version of an assignment asks for.
+func (g *Granter) confirm(now time.Time, s identifier.ServiceName) []Action {
+	view := g.assignments[s]
+	moving := view.assignment.Moving()
+	if len(moving) == 0 {
+		return nil
+	}
+	confirm := Confirm{Service: s, Version: view.version, Instance: g.cfg.Self, Incarnation: g.cfg.Incarnation}
+	for _, p := range moving {
+		owner, e, _ := view.assignment.Owner(p)
+		if c, ok := g.servers[owner]; ok {
+			confirm.Grants = append(confirm.Grants, c.list(now, view.assignment, Grant{p, e})...)
+		}
+	}
+	return []Action{SendConfirm{confirm}}
+}
+
+// reports tells each assigner of the servers that this instance coordinates.
+func (g *Granter) reports(now time.Time) []Action {
+	byService := map[identifier.ServiceName]*Report{}
+	for _, c := range g.sorted() {
+		if c.role == idle || !c.info.Keyed {
+			continue
+		}
+		r, ok := byService[c.info.Service]
+		if !ok {
+			r = &Report{Service: c.info.Service, Instance: g.cfg.Self, Loads: g.loads[c.info.Service]}
+			byService[c.info.Service] = r
+		}
+		r.Servers = append(r.Servers, ServerReport{
+			Server: c.info.ID, Silent: c.silent(now), State: c.answer.State,
+			Load: c.answer.Load,
+		})
+	}
+	var actions []Action
+	for _, r := range byService {
+		actions = append(actions, SendReport{*r})
+	}
+	slices.SortFunc(actions, func(x, y Action) int {
+		return strings.Compare(x.(SendReport).Report.Service.String(), y.(SendReport).Report.Service.String())
+	})
+	return actions
+}
+
+func (g *Granter) services() []identifier.ServiceName {
+	names := make([]identifier.ServiceName, 0, len(g.assignments))
+	for s := range g.assignments {
+		names = append(names, s)
+	}
+	slices.SortFunc(names, func(x, y identifier.ServiceName) int {
+		return strings.Compare(x.String(), y.String())
+	})
+	return names
+}
--- a/granter/roster.go
+++ b/granter/roster.go
@@ -122,8 +122,8 @@
 	if !ok {
 		return Holder{}, false
 	}
-	_, enrolled := r.Find(h.Instance, h.Incarnation)
-	return h, enrolled
+	_, registered := r.Find(h.Instance, h.Incarnation)
+	return h, registered
 }
 
 // Hold gives a server that does not check grants to a process. It must be free.
--- a/imitator/fence.go
+++ b/imitator/fence.go
@@ -62,7 +62,7 @@
 	case o.Term == 0:
 		return granter.StateOnly
 	case o.Ticket.Incarnation != f.incarnation || o.Ticket.Clock > now.Sub(f.started):
-		return granter.StrangeTicket
+		return granter.UnknownTicket
 	case o.Term < f.term || o.Term == f.term && o.Coordinator != f.coordinator:
 		return granter.LowerTerm
 	case o.Term == f.term && o.Sequence <= f.sequence:
--- a/journaler/keeper.go
+++ b/journaler/keeper.go
@@ -99,8 +99,8 @@
 	queue    []Begin        // Wait for the next write.
 	flight   []flight       // Are in the write that is under way.
 	writing  *Journal       // What that write writes.
-	mine     map[Nonce]bool // Attempts that may be running.
-	limbo    map[Nonce]bool // Attempts that may be recorded and were never allowed to run.
+	running  map[Nonce]bool // Attempts that may be running.
+	orphaned map[Nonce]bool // Attempts that may be recorded and were never allowed to run.
 	watchers map[identifier.RequestID][]Begin
 	changes  []func(*Journal) // Ends and withdrawals that are not written yet.
 	applied  int              // Of changes, how many the write under way holds.
@@ -118,7 +118,7 @@
 func NewKeeper(cfg Config) *Keeper {
 	return &Keeper{
 		cfg: cfg, journal: NewJournal(), loaded: cfg.InMemory,
-		mine: map[Nonce]bool{}, limbo: map[Nonce]bool{}, watchers: map[identifier.RequestID][]Begin{},
+		running: map[Nonce]bool{}, orphaned: map[Nonce]bool{}, watchers: map[identifier.RequestID][]Begin{},
 	}
 }
 
@@ -133,7 +133,7 @@
 
 // End takes in the end of a request that was allowed to run.
 func (k *Keeper) End(now time.Time, e End) Output {
-	delete(k.mine, e.Nonce)
+	delete(k.running, e.Nonce)
 	switch e.Answer.Outcome {
 	case answerer.Ran:
 		k.change(func(j *Journal) { j.End(e.ID, e.Answer.Status, e.Answer.Body) })
@@ -157,7 +157,7 @@
 
 // Idle reports whether nobody waits for this Keeper and nothing is to be written.
 func (k *Keeper) Idle() bool {
-	return len(k.queue) == 0 && len(k.flight) == 0 && len(k.changes) == 0 && len(k.mine) == 0 &&
+	return len(k.queue) == 0 && len(k.flight) == 0 && len(k.changes) == 0 && len(k.running) == 0 &&
 		len(k.watchers) == 0 && !k.reading && k.writing == nil
 }
 
@@ -183,11 +183,11 @@
 	for _, e := range k.journal.entries {
 		held[e.Nonce] = true
 	}
-	maps.DeleteFunc(k.mine, func(n Nonce, _ bool) bool { return !held[n] })
+	maps.DeleteFunc(k.running, func(n Nonce, _ bool) bool { return !held[n] })
 }
 
 func (k *Keeper) run(f flight) Verdict {
-	k.mine[f.nonce] = true
+	k.running[f.nonce] = true
 	return Verdict{Token: f.begin.Token, ID: f.begin.ID, Decision: Run, Nonce: f.nonce}
 }
 
@@ -228,7 +228,7 @@
 			out.Verdicts = append(out.Verdicts, k.run(f))
 			continue
 		}
-		k.limbo[f.nonce] = true
+		k.orphaned[f.nonce] = true
 		k.queue = append(k.queue, f.begin)
 	}
 	k.flight = nil
@@ -325,11 +325,11 @@
 			out.Verdicts = append(out.Verdicts, Verdict{Token: b.Token, Decision: Reused})
 		case e.State == Ended:
 			out.Verdicts = append(out.Verdicts, Verdict{Token: b.Token, Decision: Repeated, Answer: answerOf(e)})
-		case k.limbo[e.Nonce]:
+		case k.orphaned[e.Nonce]:
 			// It was recorded by a write whose answer was lost, and has not run.
-			delete(k.limbo, e.Nonce)
+			delete(k.orphaned, e.Nonce)
 			out.Verdicts = append(out.Verdicts, k.run(flight{b, e.Nonce}))
-		case k.mine[e.Nonce]:
+		case k.running[e.Nonce]:
 			k.watchers[b.ID] = append(k.watchers[b.ID], b)
 		default:
 			out.Verdicts = append(out.Verdicts, Verdict{Token: b.Token, Decision: InDoubt})
--- a/operator/instances.go
+++ b/operator/instances.go
@@ -110,8 +110,8 @@
 	for _, d := range dumps {
 		s.Instances = append(s.Instances, instanceStatus(d))
 		for _, server := range d.Coordinates {
-			line := d.Lines[server.Server]
-			s.Servers = append(s.Servers, ServerStatus{server, d.Instance, line.Limit, line.Running, line.Queued})
+			queue := d.Queues[server.Server]
+			s.Servers = append(s.Servers, ServerStatus{server, d.Instance, queue.Limit, queue.Running, queue.Queued})
 		}
 		if len(d.Services) > len(s.Services) {
 			s.Services = d.Services
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -101,25 +101,25 @@
 	m.probe, m.probedAt, m.relayed = p.number, now, false
 	s := p.send(now, m.Peer, Message{Kind: Probe, Number: p.number})
 	if m.Status >= Suspect {
-		// It must hear what is said of it to object.
-		s.Message.News = append(s.Message.News, m.News)
+		// It must merge what is said of it to refute.
+		s.Message.Updates = append(s.Message.Updates, m.Update)
 	}
 	return s
 }
 
 func (p *Prober) receive(now time.Time, e Received) []Send {
-	for _, n := range e.Message.News {
-		p.hear(now, n)
+	for _, n := range e.Message.Updates {
+		p.merge(now, n)
 	}
 	if e.From.Instance == p.cfg.Self.Instance {
 		return nil
 	}
-	p.meet(now, e.From)
+	p.observe(now, e.From)
 	switch e.Message.Kind {
 	case Probe:
 		reply := p.send(now, e.From, Message{Kind: Ack, Number: e.Message.Number})
 		if m, ok := p.members[e.From.Instance]; ok && m.Status >= Suspect {
-			reply.Message.News = append(reply.Message.News, m.News)
+			reply.Message.Updates = append(reply.Message.Updates, m.Update)
 		}
 		return []Send{reply}
 	case Ack:
@@ -130,11 +130,11 @@
 	return nil
 }
 
-// meet takes in that an instance has sent something, and so is there.
-func (p *Prober) meet(now time.Time, peer Peer) {
+// observe takes in that an instance has sent something, and so is there.
+func (p *Prober) observe(now time.Time, peer Peer) {
 	m, ok := p.members[peer.Instance]
 	if !ok {
-		m = p.add(now, News{Peer: peer, Status: Unheard})
+		m = p.add(now, Update{Peer: peer, Status: Unheard})
 	}
 	if m.Status == Unheard {
 		p.change(now, m, Alive)
@@ -188,13 +188,13 @@
 	p.announce(m)
 }
 
-// hear takes in a claim.
-func (p *Prober) hear(now time.Time, n News) {
+// merge takes in a claim.
+func (p *Prober) merge(now time.Time, n Update) {
 	if n.Status < Unheard || n.Status > Left {
 		return
 	}
 	if n.Peer.Instance == p.cfg.Self.Instance {
-		p.object(n)
+		p.refute(n)
 		return
 	}
 	m, ok := p.members[n.Peer.Instance]
@@ -208,7 +208,7 @@
 		return
 	}
 	changed := n.Status != m.Status
-	m.News = n
+	m.Update = n
 	if changed {
 		m.since = now
 		p.liveEdit++
@@ -216,8 +216,8 @@
 	p.announce(m)
 }
 
-// object answers a claim that this instance is not alive with a new incarnation.
-func (p *Prober) object(n News) {
+// refute answers a claim that this instance is not alive with a new incarnation.
+func (p *Prober) refute(n Update) {
 	if n.Incarnation < p.self.Incarnation || n.Status <= Alive || p.leaving {
 		return
 	}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -3,7 +3,7 @@
 //
 // It follows SWIM (Das, Gupta, Motivala, 2002): an instance probes one other each
 // Period, asks helpers to probe it when it does not answer, suspects it, and
-// declares it dead when nobody objects. News travels on the probes. Two things
+// declares it dead when nobody objects. Updates travel on the probes. Two things
 // differ: an instance probes a fixed set of successors on a hash ring in place of
 // random others, so that it keeps connections to a bounded number of instances;
 // and it goes on probing dead ones now and then, so that two sides of a cut find
@@ -44,9 +44,9 @@
 	Address  string // IP and port of the peer listener.
 }
 
-// News is a claim about an instance. A higher incarnation overrides a lower one,
+// Update is a claim about an instance. A higher incarnation overrides a lower one,
 // and at one incarnation the higher status overrides the lower one.
-type News struct {
+type Update struct {
 	Peer        Peer
 	Incarnation identifier.Incarnation
 	Status      Status
@@ -57,8 +57,8 @@
 	Kind   Kind
 	Number uint64 // Matches an acknowledgement to its probe.
 	// About is the instance to be probed, in a Relay and its acknowledgement.
-	About Peer
-	News  []News
+	About   Peer
+	Updates []Update
 	// Contact is how long before this acknowledgement its sender reached the
 	// platform; negative if it never did.
 	Contact time.Duration
@@ -99,17 +99,17 @@
 // deadPeriods is how many periods pass between two probes of dead instances.
 const deadPeriods = 5
 
-// newsPerMessage bounds the news on one message.
-const newsPerMessage = 8
+// updatesPerMessage bounds the updates on one message.
+const updatesPerMessage = 8
 
-// spread times the logarithm of the number of members is how often news is sent.
+// spread times the logarithm of the number of members is how often an update is sent.
 const spread = 3
 
 type member struct {
-	News
+	Update
 	place     uint64    // On the ring of hashes, seen from this instance.
 	since     time.Time // When the status began.
-	sends     int       // How often the news is still to be sent.
+	sends     int       // How often the update is still to be sent.
 	unlisted  bool      // The platform's list does not have it any more.
 	probedAt  time.Time
 	probe     uint64 // Number of the probe that is not answered, or 0.
@@ -144,7 +144,7 @@
 func New(cfg Config) *Prober {
 	return &Prober{
 		cfg: cfg, place: ranker.Weight("ring", string(cfg.Self.Instance)), members: map[identifier.Instance]*member{}, relays: map[uint64]relayID{},
-		self: member{News: News{cfg.Self, cfg.Incarnation, Alive}, sends: spread},
+		self: member{Update: Update{cfg.Self, cfg.Incarnation, Alive}, sends: spread},
 	}
 }
 
@@ -203,7 +203,7 @@
 		p.leaving = true
 		p.self.Status = Left
 		p.announce(&p.self)
-		return p.farewell(now)
+		return p.sendLeave(now)
 	}
 	return nil
 }
@@ -223,21 +223,21 @@
 func (p *Prober) LiveEdit() uint64 { return p.liveEdit }
 
 // Find returns what is known of an instance.
-func (p *Prober) Find(i identifier.Instance) (News, bool) {
+func (p *Prober) Find(i identifier.Instance) (Update, bool) {
 	m, ok := p.members[i]
 	if !ok {
-		return News{}, false
+		return Update{}, false
 	}
-	return m.News, true
+	return m.Update, true
 }
 
 // Members returns what is known of all other instances, sorted by name.
-func (p *Prober) Members() []News {
-	var all []News
+func (p *Prober) Members() []Update {
+	var all []Update
 	for _, m := range p.members {
-		all = append(all, m.News)
+		all = append(all, m.Update)
 	}
-	slices.SortFunc(all, func(x, y News) int {
+	slices.SortFunc(all, func(x, y Update) int {
 		if x.Peer.Instance < y.Peer.Instance {
 			return -1
 		}
@@ -266,7 +266,7 @@
 	for _, peer := range peers {
 		on[peer.Instance] = true
 		if _, ok := p.members[peer.Instance]; !ok && peer.Instance != p.cfg.Self.Instance {
-			p.insert(now, News{Peer: peer, Status: Unheard})
+			p.insert(now, Update{Peer: peer, Status: Unheard})
 		}
 	}
 	changed := len(p.members) > before
@@ -282,16 +282,16 @@
 	}
 }
 
-func (p *Prober) add(now time.Time, n News) *member {
+func (p *Prober) add(now time.Time, n Update) *member {
 	m := p.insert(now, n)
 	p.rebuild()
 	return m
 }
 
 // insert adds a member; rebuild must follow.
-func (p *Prober) insert(now time.Time, n News) *member {
+func (p *Prober) insert(now time.Time, n Update) *member {
 	place := ranker.Weight("ring", string(n.Peer.Instance)) - p.place
-	m := &member{News: n, since: now, place: place}
+	m := &member{Update: n, since: now, place: place}
 	p.members[n.Peer.Instance] = m
 	p.liveEdit++
 	return m
@@ -306,13 +306,13 @@
 	slices.SortFunc(p.ring, func(x, y *member) int { return cmp.Compare(x.place, y.place) })
 }
 
-// announce queues news to be sent to enough others that all learn of it.
+// announce queues updates to be sent to enough others that all learn of it.
 func (p *Prober) announce(m *member) {
 	m.sends = spread * (bits.Len(uint(len(p.members))) + 1)
 }
 
-// news returns the claims to send along, those that were sent least first.
-func (p *Prober) news() []News {
+// updates returns the claims to send along, those that were sent least first.
+func (p *Prober) updates() []Update {
 	var queue []*member
 	if p.self.sends > 0 {
 		queue = append(queue, &p.self)
@@ -323,16 +323,16 @@
 		}
 	}
 	slices.SortStableFunc(queue, func(x, y *member) int { return y.sends - x.sends })
-	var out []News
-	for _, m := range queue[:min(len(queue), newsPerMessage)] {
+	var out []Update
+	for _, m := range queue[:min(len(queue), updatesPerMessage)] {
 		m.sends--
-		out = append(out, m.News)
+		out = append(out, m.Update)
 	}
 	return out
 }
 
 func (p *Prober) send(now time.Time, to Peer, m Message) Send {
-	m.News = p.news()
+	m.Updates = p.updates()
 	m.Revision = p.revision
 	m.Contact = -1
 	if !p.contact.IsZero() {
@@ -341,7 +341,7 @@
 	return Send{to, m}
 }
 
-func (p *Prober) farewell(now time.Time) []Send {
+func (p *Prober) sendLeave(now time.Time) []Send {
 	var sends []Send
 	for _, m := range p.targets() {
 		sends = append(sends, p.send(now, m.Peer, Message{Kind: Ack}))
--- a/recorder/desk.go
+++ b/recorder/handle.go
@@ -21,8 +21,8 @@
 	return JournalPrefix + g.Service.String() + "/" + strconv.Itoa(g.Number)
 }
 
-// desk guards one group's Keeper at this instance and carries its outputs out.
-type desk struct {
+// keeperHandle guards one group's Keeper at this instance and carries its outputs out.
+type keeperHandle struct {
 	name   string
 	mu     sync.Mutex
 	keeper *journaler.Keeper
@@ -30,26 +30,26 @@
 	turns  map[journaler.Token]chan journaler.Verdict
 }
 
-func (r *Recorder) desk(g Group, o Options) *desk {
+func (r *Recorder) keeperHandle(g Group, o Options) *keeperHandle {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d, ok := r.desks[g]
+	d, ok := r.handles[g]
 	if !ok {
-		d = &desk{
+		d = &keeperHandle{
 			name: ObjectName(g), turns: map[journaler.Token]chan journaler.Verdict{},
 			keeper: journaler.NewKeeper(journaler.Config{
 				Self: r.self, Incarnation: r.incarnation, Retention: o.Retention,
 				Pause: journaler.DefaultPause, InMemory: o.InMemory,
 			}),
 		}
-		r.desks[g] = d
+		r.handles[g] = d
 	}
 	return d
 }
 
 // begin asks this instance's keeper and waits for its verdict.
 func (r *Recorder) begin(ctx context.Context, call BeginCall) journaler.Verdict {
-	d := r.desk(call.Group, call.Options)
+	d := r.keeperHandle(call.Group, call.Options)
 	turn := make(chan journaler.Verdict, 1)
 	d.mu.Lock()
 	d.next++
@@ -71,7 +71,7 @@
 
 // abandon ends the wait of a caller who is gone. Its verdict, if it came meanwhile,
 // is given back.
-func (r *Recorder) abandon(d *desk, token journaler.Token, turn chan journaler.Verdict) journaler.Verdict {
+func (r *Recorder) abandon(d *keeperHandle, token journaler.Token, turn chan journaler.Verdict) journaler.Verdict {
 	d.mu.Lock()
 	delete(d.turns, token)
 	d.mu.Unlock()
@@ -84,7 +84,7 @@
 }
 
 // giveBack withdraws a request that was allowed to run and that nobody will run.
-func (r *Recorder) giveBack(d *desk, v journaler.Verdict) {
+func (r *Recorder) giveBack(d *keeperHandle, v journaler.Verdict) {
 	if v.Decision != journaler.Run {
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 func (r *Recorder) end(call EndCall) {
-	d := r.desk(call.Ticket.Group, call.Ticket.Options)
+	d := r.keeperHandle(call.Ticket.Group, call.Ticket.Options)
 	d.mu.Lock()
 	out := d.keeper.End(r.clock(), journaler.End{ID: call.Ticket.ID, Nonce: call.Ticket.Nonce, Answer: call.Answer})
 	d.mu.Unlock()
@@ -105,12 +105,12 @@
 // Tick gives every keeper the time.
 func (r *Recorder) Tick() {
 	r.mu.Lock()
-	desks := make([]*desk, 0, len(r.desks))
-	for _, d := range r.desks {
-		desks = append(desks, d)
+	handles := make([]*keeperHandle, 0, len(r.handles))
+	for _, d := range r.handles {
+		handles = append(handles, d)
 	}
 	r.mu.Unlock()
-	for _, d := range desks {
+	for _, d := range handles {
 		d.mu.Lock()
 		out := d.keeper.Tick(r.clock())
 		d.mu.Unlock()
@@ -119,7 +119,7 @@
 }
 
 // perform gives verdicts and starts at most one platform call.
-func (r *Recorder) perform(d *desk, out journaler.Output) {
+func (r *Recorder) perform(d *keeperHandle, out journaler.Output) {
 	for _, v := range out.Verdicts {
 		r.tell(d, v)
 	}
@@ -131,7 +131,7 @@
 	}
 }
 
-func (r *Recorder) tell(d *desk, v journaler.Verdict) {
+func (r *Recorder) tell(d *keeperHandle, v journaler.Verdict) {
 	d.mu.Lock()
 	turn, ok := d.turns[v.Token]
 	delete(d.turns, v.Token)
@@ -143,7 +143,7 @@
 	turn <- v
 }
 
-func (r *Recorder) read(ctx context.Context, d *desk) {
+func (r *Recorder) read(ctx context.Context, d *keeperHandle) {
 	o, err := r.store.Read(ctx, d.name)
 	j := journaler.NewJournal()
 	if err == nil {
@@ -162,7 +162,7 @@
 	r.perform(d, out)
 }
 
-func (r *Recorder) write(ctx context.Context, d *desk, expected identifier.Version, data []byte) {
+func (r *Recorder) write(ctx context.Context, d *keeperHandle, expected identifier.Version, data []byte) {
 	v, err := r.store.Write(ctx, d.name, expected, data)
 	d.mu.Lock()
 	var out journaler.Output
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -58,14 +58,14 @@
 	view        atomic.Pointer[View]
 	tasks       *supervisor.Group
 
-	mu    sync.Mutex
-	desks map[Group]*desk
+	mu      sync.Mutex
+	handles map[Group]*keeperHandle
 }
 
 // New returns the Recorder of an instance's process; tasks runs its platform calls.
 func New(self identifier.Instance, inc identifier.Incarnation, s Store, c Caller,
 	tasks *supervisor.Group, clock func() time.Time) *Recorder {
-	r := &Recorder{self: self, incarnation: inc, store: s, caller: c, tasks: tasks, clock: clock, desks: map[Group]*desk{}}
+	r := &Recorder{self: self, incarnation: inc, store: s, caller: c, tasks: tasks, clock: clock, handles: map[Group]*keeperHandle{}}
 	r.view.Store(&View{})
 	return r
 }
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -72,11 +72,11 @@
 	controller.Dump
 	Ready   bool
 	Leaving bool
-	Lines   map[identifier.BackendServer]admitter.State
+	Queues  map[identifier.BackendServer]admitter.State
 }
 
 func (r *Runner) serveDump(w http.ResponseWriter, req *http.Request) {
-	d := Dump{Ready: r.ready.Load(), Leaving: r.leaving.Load(), Lines: r.coord.State()}
+	d := Dump{Ready: r.ready.Load(), Leaving: r.leaving.Load(), Queues: r.coord.State()}
 	r.look(req.Context(), func(c *controller.Controller) { d.Dump = c.Dump(time.Now()) })
 	serveJSON(w, d)
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -128,7 +128,7 @@
 	if refused := resp.Header.Get(HeaderRefused); refused != "" {
 		return refusal(refused)
 	}
-	return whole(resp, maxBody)
+	return readAnswer(resp, maxBody)
 }
 
 func failed(ctx context.Context, err error, written bool) answerer.Answer {
@@ -140,11 +140,11 @@
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		return answerer.Doubt(answerer.CodeCancelled, "cancelled while it ran")
+		return answerer.Indeterminate(answerer.CodeCancelled, "cancelled while it ran")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return answerer.Doubt(answerer.CodeTimedOut, "deadline passed while it ran")
+		return answerer.Indeterminate(answerer.CodeTimedOut, "deadline passed while it ran")
 	}
-	return answerer.Doubt(answerer.CodeBackendBroke, err.Error())
+	return answerer.Indeterminate(answerer.CodeBackendBroke, err.Error())
 }
 
 func refusal(kind string) answerer.Answer {
@@ -158,15 +158,15 @@
 	}
 }
 
-// whole reads the whole answer. One that breaks off or is too large is an outcome
+// readAnswer reads the readAnswer answer. One that breaks off or is too large is an outcome
 // in doubt, never half an answer.
-func whole(resp *http.Response, maxBody int) answerer.Answer {
+func readAnswer(resp *http.Response, maxBody int) answerer.Answer {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxBody)+1))
 	if err != nil {
-		return answerer.Doubt(answerer.CodeBackendBroke, "answer broke off: "+err.Error())
+		return answerer.Indeterminate(answerer.CodeBackendBroke, "answer broke off: "+err.Error())
 	}
 	if len(body) > maxBody {
-		return answerer.Doubt(answerer.CodeAnswerTooLarge, fmt.Sprintf("answer has over %d bytes", maxBody))
+		return answerer.Indeterminate(answerer.CodeAnswerTooLarge, fmt.Sprintf("answer has over %d bytes", maxBody))
 	}
 	header := resp.Header.Clone()
 	for _, name := range hopHeaders {
