controller: one instance of a zone reads the platform's list for the others

Cause: each instance read the list once a second; 1,800 instances would use 1,800 of the platform's 2,000 reads. Change: one reader a zone and the assigners read every second and the reader tells its zone what changed; the others read every 8 s.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -117,8 +117,7 @@
 	case ReadFailed:
 		c.finish(now, e.Name, false)
 	case ListRead:
-		c.listed, c.listedAt = e.Listed, now
-		c.refreshList(now)
+		c.readList(now, e.Listed)
 	case WriteEnded:
 		c.wrote(now, e)
 	case OrderEnded:
@@ -183,6 +182,8 @@
 		c.takeDocuments(now, m)
 	case CrashMessage:
 		c.do(HearCrash(m))
+	case ListMessage:
+		c.changeList(now, m)
 	}
 }
 
--- a/controller/message.go
+++ b/controller/message.go
@@ -42,6 +42,14 @@
 // CrashMessage tells of a request that a backend server crashed under.
 type CrashMessage struct{ Crash quarantiner.Crash }
 
+// ListMessage tells what has changed on the platform's list since its sender read it
+// before.
+type ListMessage struct {
+	Changed []storer.Listed
+	Removed []string
+}
+
+func (ListMessage) message()      {}
 func (CrashMessage) message()     {}
 func (ProbeMessage) message()     {}
 func (HandOverMessage) message()  {}
@@ -60,6 +68,7 @@
 	Fetch     *FetchMessage      `cbor:",omitempty"`
 	Documents *DocumentsMessage  `cbor:",omitempty"`
 	Crash     *quarantiner.Crash `cbor:",omitempty"`
+	List      *ListMessage       `cbor:",omitempty"`
 }
 
 // EncodeMessage returns the encoded form of a message, in CBOR.
@@ -80,6 +89,8 @@
 		e.Documents = &m
 	case CrashMessage:
 		e.Crash = &m.Crash
+	case ListMessage:
+		e.List = &m
 	}
 	data, err := cbor.Marshal(e)
 	if err != nil {
@@ -110,6 +121,8 @@
 		return e.From, *e.Fetch, nil
 	case e.Documents != nil:
 		return e.From, *e.Documents, nil
+	case e.List != nil:
+		return e.From, *e.List, nil
 	case e.Crash != nil:
 		return e.From, CrashMessage{*e.Crash}, nil
 	}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -25,6 +25,7 @@
 	worldTick    = 50 * time.Millisecond
 	worldListLag = 2 * time.Second
 	worldWatch   = 2 * time.Second
+	worldList    = 500 * time.Millisecond
 )
 
 var (
@@ -330,7 +331,13 @@
 	})
 	watch = current(func() { w.watch(i, ctl, watch) })
 	list = current(func() {
-		again := func() { w.after(500*time.Millisecond, &i.process, list) }
+		again := func() {
+			wait := worldList
+			if !ctl.ReadsList() {
+				wait = 8 * worldList
+			}
+			w.after(wait, &i.process, list)
+		}
 		w.call(i, func() func() {
 			l := w.list()
 			return current(func() { w.step(i, ListRead{l}); again() })
--- a/runner/actions.go
+++ b/runner/actions.go
@@ -21,8 +21,11 @@
 const (
 	// watchWait is how long a watch waits for a change.
 	watchWait = 8 * time.Second
-	// listEvery is the time between two reads of the platform's list.
+	// listEvery is the time between two reads of the platform's list by the instance
+	// of a zone that tells the others of it.
 	listEvery = time.Second
+	// listRarely is the time between two reads by the others.
+	listRarely = 8 * time.Second
 	// longestBackoff bounds the wait after failed platform calls.
 	longestBackoff = 2 * time.Second
 	// sendTimeout bounds the time to send a control message.
@@ -161,7 +164,17 @@
 		}
 		backoff.reset()
 		r.submit(ctx, controller.ListRead{Listed: list})
-		pause(ctx, listEvery)
+		r.pauseList(ctx)
+	}
+}
+
+// pauseList waits until the list is to be read again. An instance that is not its
+// zone's reader waits longer, but takes over within listEvery.
+func (r *Runner) pauseList(ctx context.Context) {
+	for waited := time.Duration(0); waited < listRarely && pause(ctx, listEvery); waited += listEvery {
+		if r.readsList.Load() {
+			return
+		}
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -61,15 +61,16 @@
 	operators *http.Server
 	listeners [2]net.Listener
 
-	events   chan controller.Event
-	inspect  chan func(*controller.Controller)
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	revision atomic.Uint64
-	tasks    *supervisor.Group
-	stop     context.CancelFunc // Ends the parts, once the shutdown is over.
-	parts    context.Context
-	done     chan error
+	events    chan controller.Event
+	inspect   chan func(*controller.Controller)
+	ready     atomic.Bool
+	leaving   atomic.Bool
+	readsList atomic.Bool
+	revision  atomic.Uint64
+	tasks     *supervisor.Group
+	stop      context.CancelFunc // Ends the parts, once the shutdown is over.
+	parts     context.Context
+	done      chan error
 }
 
 // New returns an instance that listens but does not run yet.
@@ -278,6 +279,7 @@
 		table := r.ctl.Table()
 		r.dispatch.Publish(&dispatcher.View{Table: table, Peers: r.ctl.Peers()})
 		r.record.Publish(&recorder.View{Live: r.ctl.Live()})
+		r.readsList.Store(r.ctl.ReadsList())
 		r.dropDead()
 	}
 	view := &coordinator.View{Held: map[identifier.BackendServer]heldServer{}, Settings: r.settings()}
