--- a/assigner/event.go
+++ b/assigner/event.go
@@ -65,6 +65,8 @@
 	// BalanceMovesPerMinute bounds the moves that only even out load.
 	BalanceMovesPerMinute int
 	PinnedKeys            []identifier.Key
+	// Placements are pinned keys that operators want at a certain backend server.
+	Placements map[identifier.Key]identifier.BackendServer
 	// AutoPins bounds the pinned keys up to which hot keys are pinned by themselves.
 	AutoPins int
 }
--- a/assigner/pins.go
+++ b/assigner/pins.go
@@ -107,3 +107,31 @@
 	}
 	return next.Mark(p, partitioner.Server{ID: owner, Zone: a.zoneOf(owner)}) == nil
 }
+
+// placed returns the partitions of the keys that operators have placed.
+func (a *Assigner) placed(next *partitioner.Assignment) map[identifier.Partition]bool {
+	fixed := map[identifier.Partition]bool{}
+	for k := range a.settings.Placements {
+		if p := next.PartitionOf(k); next.Pinned(p) {
+			fixed[p] = true
+		}
+	}
+	return fixed
+}
+
+// placements returns the moves of placed keys to where operators want them, as far as
+// those backend servers can take them.
+func (a *Assigner) placements(next *partitioner.Assignment, servers []Candidate) []Move {
+	var moves []Move
+	for _, k := range slices.Sorted(maps.Keys(a.settings.Placements)) {
+		p := next.PartitionOf(k)
+		owner, _, owned := next.Owner(p)
+		_, moving := next.Next(p)
+		wanted := a.settings.Placements[k]
+		n := slices.IndexFunc(servers, func(c Candidate) bool { return c.ID == wanted && c.Receive && !c.Evacuate })
+		if n >= 0 && owned && !moving && owner != wanted && next.Pinned(p) {
+			moves = append(moves, Move{p, servers[n].Server})
+		}
+	}
+	return moves
+}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -79,7 +79,9 @@
 		limit = max(1, a.settings.BalanceMovesPerMinute*int(balanceEvery/time.Second)/60)
 	}
 	servers := a.candidates(now)
-	plan := Decide(next, a.loads.weights(next.Len()), servers, limit)
+	weights := a.loads.weights(next.Len())
+	weights.Fixed = a.placed(next)
+	plan := Decide(next, weights, servers, limit)
 	changed := false
 	room := max(8, next.Len()/plannedBatch) - len(next.Moving())
 	for _, m := range plan.Evacuations {
@@ -87,6 +89,9 @@
 			changed = true
 		}
 	}
+	for _, m := range a.placements(next, servers) {
+		changed = a.apply(now, next, m, &room) || changed
+	}
 	for _, m := range plan.Balances {
 		if a.apply(now, next, m, &room) {
 			a.balancedAt = now
--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -51,6 +51,7 @@
 	load       map[identifier.BackendServer]float64
 	mean       float64
 	measured   bool
+	fixed      map[identifier.Partition]bool
 }
 
 // Decide plans the moves that a service needs: away from servers that may keep no
@@ -69,7 +70,7 @@
 
 func newPlanner(a *partitioner.Assignment, w Weights, servers []Candidate) *planner {
 	p := &planner{
-		assignment: a, weights: w.Of, measured: w.Measured, servers: map[identifier.BackendServer]Candidate{},
+		assignment: a, weights: w.Of, measured: w.Measured, fixed: w.Fixed, servers: map[identifier.BackendServer]Candidate{},
 		load: map[identifier.BackendServer]float64{},
 	}
 	for _, s := range servers {
@@ -244,7 +245,7 @@
 	lowest := p.load[from]
 	p.assignment.OwnedBy(from, func(part identifier.Partition, _ identifier.Epoch) {
 		w := p.weights[part]
-		if moved[part] || w <= 0 || to.Cold && p.load[to.ID]+w > p.bound(to) {
+		if moved[part] || p.fixed[part] || w <= 0 || to.Cold && p.load[to.ID]+w > p.bound(to) {
 			return
 		}
 		if peak := max(p.load[from]-w, p.load[to.ID]+w); peak < lowest {
--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -25,6 +25,8 @@
 	Of []float64 // Of each partition.
 	// Measured is false if nearly nothing is measured, and every partition weighs 1.
 	Measured bool
+	// Fixed partitions are not moved to even out load.
+	Fixed map[identifier.Partition]bool
 }
 
 // loads keeps the smoothed load of each partition, in requests per second.
--- a/configurer/path.go
+++ b/configurer/path.go
@@ -86,12 +86,29 @@
 	return t.Check()
 }
 
-// Unpin takes a key from the pins of a service.
+// Place pins a key and wants it at a backend server.
+func (t *Tree) Place(name identifier.Service, k identifier.Key, b identifier.BackendServer) error {
+	if err := identifier.CheckName("BackendServer", string(b)); err != nil {
+		return err
+	}
+	if err := t.Pin(name, k); err != nil {
+		return err
+	}
+	s := t.Services[name]
+	if s.Placements == nil {
+		s.Placements = map[identifier.Key]identifier.BackendServer{}
+	}
+	s.Placements[k] = b
+	return t.Check()
+}
+
+// Unpin takes a key from the pins and placements of a service.
 func (t *Tree) Unpin(name identifier.Service, k identifier.Key) error {
 	s, ok := t.Services[name]
 	if !ok {
 		return &FieldError{string(t.Organisation), "Service", string(name), "no such service"}
 	}
+	delete(s.Placements, k)
 	s.Pins = slices.DeleteFunc(s.Pins, func(pinned identifier.Key) bool { return pinned == k })
 	return t.Check()
 }
--- a/configurer/tree.go
+++ b/configurer/tree.go
@@ -47,6 +47,8 @@
 	Servers map[identifier.BackendServer]*Server `json:",omitempty"`
 	// Pins are the hot keys that have a partition of their own.
 	Pins []identifier.Key `json:",omitempty"`
+	// Placements are the pinned keys that operators want at a certain backend server.
+	Placements map[identifier.Key]identifier.BackendServer `json:",omitempty"`
 }
 
 // Zone is the level of one availability zone within a service.
--- a/controller/message_test.go
+++ b/controller/message_test.go
@@ -4,6 +4,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/prober"
@@ -34,6 +35,28 @@
 	}
 }
 
+// TestPlacedKeyMoves checks that a key that operators place is owned by the backend
+// server that they name, and goes back to its partition when they let it go.
+func TestPlacedKeyMoves(t *testing.T) {
+	t.Parallel()
+	w := newWorld(3, worldSize{zones: 2, instances: 4, servers: 4, partitions: 8})
+	w.run(warmUp)
+	end := faults["MoveKey"](w, fault{Target: 1})
+	w.run(3 * time.Second)
+	a, err := w.truth()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if owner, _, _ := a.Owner(a.PartitionOf(otherKeys[1])); owner != "server-1" || len(a.Pins()) != 1 {
+		t.Errorf("the key is owned by %s, pins %v; want server-1", owner, a.Pins())
+	}
+	end()
+	w.run(5 * time.Second)
+	if a, err = w.truth(); err != nil || len(a.Pins()) != 0 {
+		t.Errorf("after it was let go: pins %v, %v", a.Pins(), err)
+	}
+}
+
 // FuzzDecodeMessage feeds the decoder of peer messages, and the controller with what
 // it makes of them.
 func FuzzDecodeMessage(f *testing.F) {
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -142,6 +142,12 @@
 	}, func(t *configurer.Tree, f fault) error {
 		return t.Unpin(worldService.Service, otherKeys[f.Target%len(otherKeys)])
 	}),
+	"MoveKey": changeTree(func(t *configurer.Tree, f fault) error {
+		b := identifier.BackendServer(fmt.Sprintf("server-%d", f.Target%3))
+		return t.Place(worldService.Service, otherKeys[f.Target%len(otherKeys)], b)
+	}, func(t *configurer.Tree, f fault) error {
+		return t.Unpin(worldService.Service, otherKeys[f.Target%len(otherKeys)])
+	}),
 	"DrainServer": changeTree(func(t *configurer.Tree, f fault) error {
 		return t.Drain(worldService.Service, identifier.BackendServer(fmt.Sprintf("server-%d", f.Target%3)), true)
 	}, func(t *configurer.Tree, f fault) error {
@@ -234,7 +240,7 @@
 	if rapid.IntRange(0, 2).Draw(t, "Pin") == 0 {
 		// Pins come and go around the other faults.
 		s.Faults = append(s.Faults, fault{
-			Kind: "PinKey", AtMs: rapid.IntRange(0, 3000).Draw(t, "PinAtMs"),
+			Kind: rapid.SampledFrom([]string{"PinKey", "MoveKey"}).Draw(t, "PinKind"), AtMs: rapid.IntRange(0, 3000).Draw(t, "PinAtMs"),
 			ForMs: rapid.IntRange(1000, 6000).Draw(t, "PinForMs"), Target: rapid.IntRange(0, 5).Draw(t, "PinTarget"),
 		})
 	}
--- a/controller/replica.go
+++ b/controller/replica.go
@@ -148,6 +148,7 @@
 		Partitions: e.Partitions, IsolationHold: e.IsolationHold, Zones: c.zones.States,
 		Drained:               map[identifier.BackendServer]bool{},
 		BalanceMovesPerMinute: e.BalanceMovesPerMinute, PinnedKeys: t.Services[s.Service].Pins, AutoPins: e.AutoPins,
+		Placements: t.Services[s.Service].Placements,
 	}
 	for b, node := range t.Services[s.Service].Servers {
 		settings.Drained[b] = node.Drained
--- a/operator/instances.go
+++ b/operator/instances.go
@@ -287,3 +287,18 @@
 		}
 	}
 }
+
+func setUpMove(c *kingpin.CmdClause) func(context.Context, *console) error {
+	level := c.Arg("service", "organisation/service").Required().String()
+	key := c.Arg("key", "The key.").Required().String()
+	server := c.Arg("server", "Name of the backend server.").Required().String()
+	return func(ctx context.Context, con *console) error {
+		path, err := parsePath(*level)
+		if err != nil {
+			return err
+		}
+		return con.change(ctx, path.Organisation, "move "+*key+" to "+*server, func(t *configurer.Tree) error {
+			return t.Place(path.Service, identifier.Key(*key), identifier.BackendServer(*server))
+		})
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -81,6 +81,7 @@
 	{"backend drain", "Move everything away from a backend server. Example: backend drain quokka/sitefront sitefront-03", setUpDrain(true)},
 	{"backend undrain", "Give a backend server work again.", setUpDrain(false)},
 	{"pin", "Give a hot key a partition of its own. Example: pin quokka/sitefront open-day", setUpPin(true)},
+	{"move", "Pin a key and move it to a backend server, where it stays. Example: move quokka/sitefront open-day sitefront-03", setUpMove},
 	{"unpin", "Let a key be pinned only while it is hot.", setUpPin(false)},
 	{"dump", "Print the whole state of an instance.", setUpDump},
 	{"load", "Load the callers' interface and print latencies. Example: load --target http://127.0.0.1:8080 --path /quokka/ledger/balance", setUpLoad},
