--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -37,6 +37,7 @@
 	server   map[string]*exec.Cmd
 	address  map[string]string // Of a backend server, or of an instance for callers.
 	instance map[string]*exec.Cmd
+	logs     []*os.File // What each process has logged.
 }
 
 // startCluster starts a platform, four backend servers of a keyed service and two of
@@ -94,7 +95,10 @@
 func (c *cluster) start(args ...string) *exec.Cmd {
 	c.t.Helper()
 	cmd := exec.Command(c.binary, args...)
-	cmd.Stderr = os.Stderr
+	log, err := os.Create(fmt.Sprintf("%s/%d.log", c.dir, len(c.logs)))
+	c.must(err)
+	c.logs = append(c.logs, log)
+	cmd.Stderr = log
 	c.must(cmd.Start())
 	c.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
@@ -112,7 +116,7 @@
 	name := fmt.Sprintf("quokka-%d", n)
 	peer := freeAddress(c.t)
 	c.address[name] = freeAddress(c.t)
-	c.instance[name] = c.start("--log-level", "error", "serve", "--instance", name, "--zone", zone,
+	c.instance[name] = c.start("serve", "--instance", name, "--zone", zone,
 		"--platform", "http://"+c.platform, "--caller-address", c.address[name], "--peer-address", peer,
 		"--operator-address", freeAddress(c.t), "--operator-token", "test", "--balancer-delay", "300ms",
 		"--peer-authority", c.dir+"/authority.pem", "--peer-certificate", fmt.Sprintf("%s/instance-%d.pem", c.dir, n+1),
@@ -237,6 +241,7 @@
 	for n := range 3 {
 		c.read(fmt.Sprintf("quokka-%d", n), "open-day")
 	}
+	t.Run("SteadyLoadLogsNothing", func(t *testing.T) { c.steadyLoadLogsNothing(t) })
 	t.Run("ResendRunsOnce", func(t *testing.T) { c.resendRunsOnce(t) })
 	t.Run("PoolResendRunsOnce", func(t *testing.T) { c.poolResendRunsOnce(t) })
 	t.Run("CrashingRequestIsQuarantined", func(t *testing.T) { c.crashingRequest(t) })
@@ -247,6 +252,27 @@
 	t.Run("KilledServerAndInstance", func(t *testing.T) { c.killed(t) })
 }
 
+// steadyLoadLogsNothing checks that only changes of state are logged.
+func (c *cluster) steadyLoadLogsNothing(t *testing.T) {
+	before := c.logged()
+	for n := range 300 {
+		c.read(fmt.Sprintf("quokka-%d", n%3), fmt.Sprint("page-", n%40))
+	}
+	if after := c.logged(); after != before {
+		t.Errorf("%d bytes were logged under steady load", after-before)
+	}
+}
+
+// logged returns the size of all logs.
+func (c *cluster) logged() (total int64) {
+	for _, log := range c.logs {
+		info, err := log.Stat()
+		c.must(err)
+		total += info.Size()
+	}
+	return total
+}
+
 func (c *cluster) resendRunsOnce(t *testing.T) {
 	path := "/quokka/sitefront/keys/open-day/publish"
 	first := c.post("quokka-0", path, "publish-1", "build 7")
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -84,7 +84,6 @@
 	liveEdit uint64
 	fetchAt  time.Time
 	edit     uint64
-	stopping bool
 
 	out []Action
 }
@@ -156,7 +155,6 @@
 }
 
 func (c *Controller) stop(now time.Time) {
-	c.stopping = true
 	c.probe(now, prober.Leave{})
 	c.grant(now, granter.Stop{})
 	for _, s := range c.services() {
--- a/controller/replica.go
+++ b/controller/replica.go
@@ -114,12 +114,24 @@
 			c.assign(now, s, assigner.RosterSeen{Zone: d.zone, Version: v, Roster: d.roster})
 		}
 	case recordDocument:
+		before := c.holder(d.service)
 		c.assign(now, d.service, assigner.RecordSeen{Version: v, Record: d.record})
-		c.do(Noted{"AssignerChanged", d.service.String() + ": " + string(d.record.Holder)})
+		if after := c.holder(d.service); after != before {
+			c.do(Noted{"AssignerChanged", d.service.String() + ": " + string(after)})
+		}
 	case unknownDocument:
 	}
 }
 
+// holder returns the instance that is a service's assigner, or "".
+func (c *Controller) holder(s identifier.ServiceName) identifier.Instance {
+	a, ok := c.assigners[s]
+	if !ok {
+		return ""
+	}
+	return a.Holder()
+}
+
 // refreshSettings passes the settings on to the parts that follow them.
 func (c *Controller) refreshSettings(now time.Time) {
 	lost := map[identifier.Zone]bool{}
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/identifier"
-	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/router"
 )
 
@@ -32,34 +30,6 @@
 	})
 }
 
-// serveReady tells the platform's balancer whether the instance takes requests.
-func (r *Runner) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if r.leaving.Load() || !r.ready.Load() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = w.Write([]byte("ready\n"))
-}
-
-// serveOutcome tells a caller what has become of a request, by its Idempotency-Key.
-func (r *Runner) serveOutcome(w http.ResponseWriter, req *http.Request) {
-	name := serviceName(req)
-	s, ok := r.dispatch.Table().Find(name)
-	if !ok {
-		http.Error(w, answerer.CodeUnknownService.String(), http.StatusNotFound)
-		return
-	}
-	found, err := r.record.Find(req.Context(), name, identifier.RequestID(req.PathValue("id")), s.Settings)
-	switch {
-	case errors.Is(err, recorder.ErrNotRecorded):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case err != nil:
-		http.Error(w, answerer.CodePlatformDown.String(), http.StatusServiceUnavailable)
-	default:
-		serveJSON(w, found)
-	}
-}
-
 func serviceName(req *http.Request) identifier.ServiceName {
 	return identifier.ServiceName{
 		Organisation: identifier.Organisation(req.PathValue("organisation")),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,6 +31,13 @@
 	tickEvery = 50 * time.Millisecond
 	// loadsEvery is the time between two measurements of load.
 	loadsEvery = time.Second
+	// platformConnections is the number of idle connections kept to the platform.
+	platformConnections = 8
+	// headerTimeout and bodyTimeout bound the time to read a request.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = time.Minute
+	// maxHeader bounds the headers of a request, in bytes.
+	maxHeader = 64 << 10
 	// eventBacklog is the room for events that wait for the control loop.
 	eventBacklog = 4096
 )
@@ -84,8 +91,7 @@
 	}
 	r := &Runner{
 		cfg: cfg, logs: logs, scope: scope, metrics: metrics,
-		store:  storer.New(cfg.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, cfg.PlatformBudget, cfg.PlatformTimeout),
-		sender: sender.New(cfg.Connections),
+		store: newStore(cfg), sender: sender.New(cfg.Connections),
 		events: make(chan controller.Event, eventBacklog), inspect: make(chan func(*controller.Controller)),
 		done: make(chan error, 1),
 	}
@@ -93,23 +99,33 @@
 	if err != nil {
 		return nil, err
 	}
-	self := prober.Peer{Instance: cfg.Instance, Zone: cfg.Zone, Address: r.transport.Address()}
+	r.assemble(now)
+	return r, r.listen()
+}
+
+// newStore returns a client of the platform with a budget of its own.
+func newStore(cfg Config) *storer.Client {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections}}
+	return storer.New(cfg.PlatformURL, client, cfg.PlatformBudget, cfg.PlatformTimeout)
+}
+
+// assemble makes the parts of the instance and connects them.
+func (r *Runner) assemble(now time.Time) {
+	self := prober.Peer{Instance: r.cfg.Instance, Zone: r.cfg.Zone, Address: r.transport.Address()}
 	incarnation := identifier.Incarnation(now.UnixMilli())
 	// The parts do not end with Run's context: a graceful shutdown still needs them.
 	r.parts, r.stop = context.WithCancel(context.Background())
 	r.tasks = supervisor.New(r.parts)
 	r.ctl = controller.New(now, controller.DefaultConfig(self, incarnation))
-	r.guard = newGuard(cfg.Instance, incarnation, time.Now, func(c quarantiner.Crash) {
+	r.guard = newGuard(r.cfg.Instance, incarnation, time.Now, func(c quarantiner.Crash) {
 		r.submit(r.parts, controller.CrashSeen{Crash: c})
 	})
 	// Journals have a budget of their own, so that requests never starve control.
-	journals := storer.New(cfg.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, cfg.PlatformBudget, cfg.PlatformTimeout)
-	r.record = recorder.New(cfg.Instance, incarnation, journals, r.transport, r.tasks, time.Now)
+	r.record = recorder.New(r.cfg.Instance, incarnation, newStore(r.cfg), r.transport, r.tasks, time.Now)
 	r.coord = coordinator.New(r.sender, r.guard, time.Now)
 	r.dispatch = dispatcher.New(dispatcher.Parts{
 		Self: self, Local: r.coord, Recorder: r.record, Guard: r.guard, Caller: r.transport, Tasks: r.tasks, Clock: time.Now,
 	})
-	return r, r.listen()
 }
 
 func (r *Runner) listen() error {
@@ -124,8 +140,10 @@
 	callers.HandleFunc("GET /ready", r.serveReady)
 	callers.HandleFunc("GET /turmericlift/outcomes/{organisation}/{service}/{id...}", r.serveOutcome)
 	callers.Handle("/", receiver.New(r.dispatch, r, time.Now))
-	r.callers = &http.Server{Handler: callers, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
-	r.operators = &http.Server{Handler: r.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}
+	r.callers = &http.Server{
+		Handler: callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, MaxHeaderBytes: maxHeader,
+	}
+	r.operators = &http.Server{Handler: r.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	return nil
 }
 
