admitter: a server that says that it is cold gets no slot more, whatever it has completed

Cause: the ramp added a slot after 8 completed requests, though the server was still cold and bore one: TestColdServerIsSpared found 2 and more at once before, 1 now. The ramp begins when the server says that it is warm.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -59,16 +59,17 @@
 
 // Admitter is the state machine of one backend server.
 type Admitter struct {
-	cfg     Config
-	limit   float64 // Between 1 and the slots.
-	cold    bool
-	work    int // Completed since the last step of the ramp.
-	cutAt   time.Time
-	process identifier.Incarnation
-	running map[ID]bool
-	flows   map[Flow][]waiting
-	turns   []Flow // Flows that wait, in the order of their turns.
-	queued  int
+	cfg      Config
+	limit    float64 // Between 1 and the slots.
+	cold     bool
+	saysCold bool // The server says of itself that it is cold.
+	work     int  // Completed since the last step of the ramp.
+	cutAt    time.Time
+	process  identifier.Incarnation
+	running  map[ID]bool
+	flows    map[Flow][]waiting
+	turns    []Flow // Flows that wait, in the order of their turns.
+	queued   int
 }
 
 // New returns the Admitter of a server that is taken for cold until it says
@@ -218,6 +219,9 @@
 		a.limit = min(slots, a.limit+1/a.limit)
 		return
 	}
+	if a.saysCold {
+		return // It bears no more yet, whatever it has completed.
+	}
 	a.work++
 	if a.work < rampWork*int(a.limit) {
 		return
@@ -255,9 +259,11 @@
 	}
 }
 
-// SeeCold takes in that the server says of itself that it is cold.
-func (a *Admitter) SeeCold() {
-	if !a.cold {
+// SeeState takes in whether the server says of itself that it is cold. One that falls
+// back into cold start begins the ramp again.
+func (a *Admitter) SeeState(cold bool) {
+	a.saysCold = cold
+	if cold && !a.cold {
 		a.markCold()
 	}
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -108,7 +108,7 @@
 	now := time.Unix(1e6, 0)
 	a := New(Config{Slots: 4, ColdSlots: 1, QueueLength: 100})
 	flow := Flow{"org", "key"}
-	for id := range ID(20) {
+	for id := range ID(40) {
 		a.Arrive(now, id, flow, now.Add(time.Minute))
 	}
 	if s := a.State(); s.Running != 1 {
@@ -118,8 +118,17 @@
 	if s := a.State(); s.Running != 1 {
 		t.Errorf("time alone lets %d requests run", s.Running)
 	}
+	a.SeeState(true)
+	a.Done(now, 0, Completed)
+	for id := range ID(rampWork) {
+		a.Done(now, id+1, Completed)
+	}
+	if s := a.State(); s.Running != 1 {
+		t.Errorf("%d requests run while the server says that it is cold, want 1", s.Running)
+	}
+	a.SeeState(false)
 	for id := range ID(rampWork) {
-		a.Done(now, id, Completed)
+		a.Done(now, id+rampWork+1, Completed)
 	}
 	if s := a.State(); s.Running != 2 {
 		t.Errorf("%d requests run after %d were completed, want 2", s.Running, rampWork)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -117,9 +117,7 @@
 	}
 	q.admitter.Configure(cfg)
 	q.admitter.SeeProcess(held.Process)
-	if held.State == granter.ServerCold {
-		q.admitter.SeeCold()
-	}
+	q.admitter.SeeState(held.State == granter.ServerCold)
 }
 
 // Handle runs a request on the backend server that it names.
