transporter: a connection that is made while its peer is dropped can be dropped later

Cause: Drop forgot the peer, so a connection being dialled was kept by nobody and its call hung until the idle timeout of 30 s.

--- a/imitator/fence_test.go
+++ b/imitator/fence_test.go
@@ -55,7 +55,7 @@
 func TestLease(t *testing.T) {
 	t.Parallel()
 	g := granter.Grant{Partition: 1, Epoch: 4}
-	at := func(d time.Duration) time.Time { return fenceStart.Add(d) }
+	at := fenceStart.Add
 	f := NewFence(fenceStart, "server-0", 7, true)
 	// The order took 1.5 s on its way: half a second of the lease is left.
 	f.Take(at(2500*time.Millisecond), order(1, 1, time.Second, g))
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -102,7 +102,7 @@
 		Header: http.Header{HeaderOutcome: {"NotRun"}, HeaderCode: {"9"}, "Etag": {"x"}},
 	}}
 	w := httptest.NewRecorder()
-	New(f, f, time.Now).ServeHTTP(w, httptest.NewRequest("GET", "/quokka/ledger/balance", nil))
+	New(f, f, time.Now).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/quokka/ledger/balance", http.NoBody))
 	if w.Code != http.StatusCreated || w.Header().Get("Content-Length") != "4" || w.Header().Get("Etag") != "x" ||
 		w.Header().Get(HeaderOutcome) != "Ran" || w.Header().Get(HeaderCode) != "0" {
 		t.Errorf("status %d, headers %v", w.Code, w.Header())
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -291,11 +291,11 @@
 	return p.conn
 }
 
-// Drop ends the connection to a peer that is dead, so that calls to it end at once.
+// Drop ends the connection to a peer that is dead, so that calls to it end at once. The
+// peer stays known: a connection that is being made meanwhile can be dropped later.
 func (t *Transport) Drop(address string) {
 	t.mu.Lock()
 	p, ok := t.peers[address]
-	delete(t.peers, address)
 	t.mu.Unlock()
 	if !ok {
 		return
