--- a/journaler/keeper.go
+++ b/journaler/keeper.go
@@ -155,10 +155,9 @@
 // Tick says that time has passed.
 func (k *Keeper) Tick(now time.Time) Output { return k.advance(now) }
 
-// Idle reports whether nobody waits for this Keeper and nothing is to be written.
-func (k *Keeper) Idle() bool {
-	return len(k.queue) == 0 && len(k.flight) == 0 && len(k.changes) == 0 && len(k.running) == 0 &&
-		len(k.watchers) == 0 && !k.reading && k.writing == nil
+// Flushed reports whether nothing is left to be written.
+func (k *Keeper) Flushed() bool {
+	return len(k.queue) == 0 && len(k.flight) == 0 && len(k.changes) == 0 && k.writing == nil
 }
 
 // Wrote takes in that the write under way has taken effect.
--- a/recorder/handle.go
+++ b/recorder/handle.go
@@ -30,150 +30,167 @@
 	turns  map[journaler.Token]chan journaler.Verdict
 }
 
-func (r *Recorder) keeperHandle(g Group, o Options) *keeperHandle {
+func (r *Recorder) handle(g Group, o Options) *keeperHandle {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d, ok := r.handles[g]
+	h, ok := r.handles[g]
 	if !ok {
-		d = &keeperHandle{
+		h = &keeperHandle{
 			name: ObjectName(g), turns: map[journaler.Token]chan journaler.Verdict{},
 			keeper: journaler.NewKeeper(journaler.Config{
 				Self: r.self, Incarnation: r.incarnation, Retention: o.Retention,
 				Pause: journaler.DefaultPause, InMemory: o.InMemory,
 			}),
 		}
-		r.handles[g] = d
+		r.handles[g] = h
 	}
-	return d
+	return h
 }
 
 // begin asks this instance's keeper and waits for its verdict.
 func (r *Recorder) begin(ctx context.Context, call BeginCall) journaler.Verdict {
-	d := r.keeperHandle(call.Group, call.Options)
+	h := r.handle(call.Group, call.Options)
 	turn := make(chan journaler.Verdict, 1)
-	d.mu.Lock()
-	d.next++
-	token := d.next
-	d.turns[token] = turn
+	h.mu.Lock()
+	h.next++
+	token := h.next
+	h.turns[token] = turn
 	now := r.clock()
-	out := d.keeper.Begin(now, journaler.Begin{
+	out := h.keeper.Begin(now, journaler.Begin{
 		Token: token, ID: call.ID, Fingerprint: call.Fingerprint, Deadline: now.Add(call.Remaining),
 	})
-	d.mu.Unlock()
-	r.perform(d, out)
+	h.mu.Unlock()
+	r.perform(h, out)
 	select {
 	case v := <-turn:
 		return v
 	case <-ctx.Done():
 	}
-	return r.abandon(d, token, turn)
+	return r.abandon(h, token, turn)
 }
 
 // abandon ends the wait of a caller who is gone. Its verdict, if it came meanwhile,
 // is given back.
-func (r *Recorder) abandon(d *keeperHandle, token journaler.Token, turn chan journaler.Verdict) journaler.Verdict {
-	d.mu.Lock()
-	delete(d.turns, token)
-	d.mu.Unlock()
+func (r *Recorder) abandon(h *keeperHandle, token journaler.Token, turn chan journaler.Verdict) journaler.Verdict {
+	h.mu.Lock()
+	delete(h.turns, token)
+	h.mu.Unlock()
 	select {
 	case v := <-turn:
-		r.giveBack(d, v)
+		r.giveBack(h, v)
 	default:
 	}
 	return journaler.Verdict{Decision: journaler.Late}
 }
 
 // giveBack withdraws a request that was allowed to run and that nobody will run.
-func (r *Recorder) giveBack(d *keeperHandle, v journaler.Verdict) {
+func (r *Recorder) giveBack(h *keeperHandle, v journaler.Verdict) {
 	if v.Decision != journaler.Run {
 		return
 	}
-	d.mu.Lock()
-	out := d.keeper.End(r.clock(), journaler.End{ID: v.ID, Nonce: v.Nonce, Answer: answerer.Answer{Outcome: answerer.NotRun}})
-	d.mu.Unlock()
-	r.perform(d, out)
+	h.mu.Lock()
+	out := h.keeper.End(r.clock(), journaler.End{ID: v.ID, Nonce: v.Nonce, Answer: answerer.Answer{Outcome: answerer.NotRun}})
+	h.mu.Unlock()
+	r.perform(h, out)
 }
 
 func (r *Recorder) end(call EndCall) {
-	d := r.keeperHandle(call.Ticket.Group, call.Ticket.Options)
-	d.mu.Lock()
-	out := d.keeper.End(r.clock(), journaler.End{ID: call.Ticket.ID, Nonce: call.Ticket.Nonce, Answer: call.Answer})
-	d.mu.Unlock()
-	r.perform(d, out)
+	h := r.handle(call.Ticket.Group, call.Ticket.Options)
+	h.mu.Lock()
+	out := h.keeper.End(r.clock(), journaler.End{ID: call.Ticket.ID, Nonce: call.Ticket.Nonce, Answer: call.Answer})
+	h.mu.Unlock()
+	r.perform(h, out)
 }
 
-// Tick gives every keeper the time.
-func (r *Recorder) Tick() {
+// Flushed reports whether every keeper has written what it knows.
+func (r *Recorder) Flushed() bool {
+	for _, h := range r.all() {
+		h.mu.Lock()
+		flushed := h.keeper.Flushed()
+		h.mu.Unlock()
+		if !flushed {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Recorder) all() []*keeperHandle {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	handles := make([]*keeperHandle, 0, len(r.handles))
-	for _, d := range r.handles {
-		handles = append(handles, d)
+	for _, h := range r.handles {
+		handles = append(handles, h)
 	}
-	r.mu.Unlock()
-	for _, d := range handles {
-		d.mu.Lock()
-		out := d.keeper.Tick(r.clock())
-		d.mu.Unlock()
-		r.perform(d, out)
+	return handles
+}
+
+// Tick gives every keeper the time.
+func (r *Recorder) Tick() {
+	for _, h := range r.all() {
+		h.mu.Lock()
+		out := h.keeper.Tick(r.clock())
+		h.mu.Unlock()
+		r.perform(h, out)
 	}
 }
 
 // perform gives verdicts and starts at most one platform call.
-func (r *Recorder) perform(d *keeperHandle, out journaler.Output) {
+func (r *Recorder) perform(h *keeperHandle, out journaler.Output) {
 	for _, v := range out.Verdicts {
-		r.tell(d, v)
+		r.tell(h, v)
 	}
 	switch {
 	case out.Read:
-		r.tasks.Go(func(ctx context.Context) { r.read(ctx, d) })
+		r.tasks.Go(func(ctx context.Context) { r.read(ctx, h) })
 	case out.Write != nil:
-		r.tasks.Go(func(ctx context.Context) { r.write(ctx, d, out.Expected, out.Write) })
+		r.tasks.Go(func(ctx context.Context) { r.write(ctx, h, out.Expected, out.Write) })
 	}
 }
 
-func (r *Recorder) tell(d *keeperHandle, v journaler.Verdict) {
-	d.mu.Lock()
-	turn, ok := d.turns[v.Token]
-	delete(d.turns, v.Token)
-	d.mu.Unlock()
+func (r *Recorder) tell(h *keeperHandle, v journaler.Verdict) {
+	h.mu.Lock()
+	turn, ok := h.turns[v.Token]
+	delete(h.turns, v.Token)
+	h.mu.Unlock()
 	if !ok {
-		r.giveBack(d, v)
+		r.giveBack(h, v)
 		return
 	}
 	turn <- v
 }
 
-func (r *Recorder) read(ctx context.Context, d *keeperHandle) {
-	o, err := r.store.Read(ctx, d.name)
+func (r *Recorder) read(ctx context.Context, h *keeperHandle) {
+	o, err := r.store.Read(ctx, h.name)
 	j := journaler.NewJournal()
 	if err == nil {
 		j, err = journaler.Decode(o.Data)
 	} else if errors.Is(err, storer.ErrNotFound) {
 		err = nil
 	}
-	d.mu.Lock()
+	h.mu.Lock()
 	var out journaler.Output
 	if err != nil {
-		out = d.keeper.ReadFailed(r.clock())
+		out = h.keeper.ReadFailed(r.clock())
 	} else {
-		out = d.keeper.Read(r.clock(), o.Version, j)
+		out = h.keeper.Read(r.clock(), o.Version, j)
 	}
-	d.mu.Unlock()
-	r.perform(d, out)
+	h.mu.Unlock()
+	r.perform(h, out)
 }
 
-func (r *Recorder) write(ctx context.Context, d *keeperHandle, expected identifier.Version, data []byte) {
-	v, err := r.store.Write(ctx, d.name, expected, data)
-	d.mu.Lock()
+func (r *Recorder) write(ctx context.Context, h *keeperHandle, expected identifier.Version, data []byte) {
+	v, err := r.store.Write(ctx, h.name, expected, data)
+	h.mu.Lock()
 	var out journaler.Output
 	switch {
 	case errors.Is(err, storer.ErrBudget):
-		out = d.keeper.Deferred(r.clock())
+		out = h.keeper.Deferred(r.clock())
 	case err != nil:
-		out = d.keeper.Unsure(r.clock())
+		out = h.keeper.Unsure(r.clock())
 	default:
-		out = d.keeper.Wrote(r.clock(), v)
+		out = h.keeper.Wrote(r.clock(), v)
 	}
-	d.mu.Unlock()
-	r.perform(d, out)
+	h.mu.Unlock()
+	r.perform(h, out)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -199,13 +199,13 @@
 	return errors.Join(err, r.operators.Shutdown(ctx))
 }
 
-// awaitHandOver waits until other instances coordinate all backend servers, or no
-// time is left.
+// awaitHandOver waits until other instances coordinate all backend servers and the
+// journals hold the ends of all requests, or no time is left.
 func (r *Runner) awaitHandOver(ctx context.Context) {
 	for {
 		drained := false
 		r.look(ctx, func(c *controller.Controller) { drained = c.Drained() })
-		if drained || !pause(ctx, 2*tickEvery) {
+		if drained && r.record.Flushed() || !pause(ctx, 2*tickEvery) {
 			return
 		}
 	}
