--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -20,6 +20,7 @@
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/imitator"
+	"github.com/turmericlift/turmericlift/operator"
 	"github.com/turmericlift/turmericlift/receiver"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -37,6 +38,7 @@
 	server   map[string]*exec.Cmd
 	address  map[string]string // Of a backend server, or of an instance for callers.
 	instance map[string]*exec.Cmd
+	operator []string   // Addresses of the instances for operators.
 	logs     []*os.File // What each process has logged.
 }
 
@@ -114,11 +116,12 @@
 
 func (c *cluster) startInstance(n int, zone string) {
 	name := fmt.Sprintf("quokka-%d", n)
-	peer := freeAddress(c.t)
+	peer, operators := freeAddress(c.t), freeAddress(c.t)
+	c.operator = append(c.operator, operators)
 	c.address[name] = freeAddress(c.t)
 	c.instance[name] = c.start("serve", "--instance", name, "--zone", zone,
 		"--platform", "http://"+c.platform, "--caller-address", c.address[name], "--peer-address", peer,
-		"--operator-address", freeAddress(c.t), "--operator-token", "test", "--balancer-delay", "300ms",
+		"--operator-address", operators, "--operator-token", "test", "--balancer-delay", "300ms",
 		"--peer-authority", c.dir+"/authority.pem", "--peer-certificate", fmt.Sprintf("%s/instance-%d.pem", c.dir, n+1),
 		"--peer-key", fmt.Sprintf("%s/instance-%d.key", c.dir, n+1))
 	c.list(storer.Listed{ID: name, Kind: storer.KindEntry, State: storer.StateLive, Address: peer}, zone)
@@ -242,6 +245,7 @@
 		c.read(fmt.Sprintf("quokka-%d", n), "open-day")
 	}
 	t.Run("SteadyLoadLogsNothing", func(t *testing.T) { c.steadyLoadLogsNothing(t) })
+	t.Run("Operators", func(t *testing.T) { c.operators(t) })
 	t.Run("ResendRunsOnce", func(t *testing.T) { c.resendRunsOnce(t) })
 	t.Run("PoolResendRunsOnce", func(t *testing.T) { c.poolResendRunsOnce(t) })
 	t.Run("CrashingRequestIsQuarantined", func(t *testing.T) { c.crashingRequest(t) })
@@ -252,6 +256,42 @@
 	t.Run("KilledServerAndInstance", func(t *testing.T) { c.killed(t) })
 }
 
+// operators runs the operators' client against the daemons.
+func (c *cluster) operators(t *testing.T) {
+	run := func(token string, args ...string) (int, string) {
+		var out bytes.Buffer
+		common := []string{"--platform", "http://" + c.platform, "--operator-token", token}
+		for _, address := range c.operator {
+			common = append(common, "--instances", "http://"+address)
+		}
+		code := operator.Run(append(common, args...), &out, &out, time.Now)
+		return code, out.String()
+	}
+	cases := []struct {
+		args []string
+		want string
+	}{
+		{[]string{"status"}, "quokka/sitefront"},
+		{[]string{"where", "quokka", "sitefront", "open-day"}, "sitefront-"},
+		{[]string{"dump"}, "Coordinates"},
+		{[]string{"zone", "out", "crawley-a"}, "add --yes"},
+	}
+	for _, tc := range cases {
+		code, out := run("test", tc.args...)
+		if code != operator.ExitOK || !strings.Contains(out, tc.want) || strings.Contains(out, "PRIVATE KEY") {
+			t.Errorf("%v: exit %d, %s", tc.args, code, out)
+		}
+		if code, out := run("wrong", tc.args...); tc.args[0] != "zone" && code != operator.ExitFailed {
+			t.Errorf("%v with a wrong token: exit %d, %s", tc.args, code, out)
+		}
+	}
+	for _, args := range [][]string{{"settings", "set", "quokka/sitefront", "--queue-length", "40"}, {"settings", "wait", "quokka"}} {
+		if code, out := run("test", args...); code != operator.ExitOK {
+			t.Errorf("%v: exit %d, %s", args, code, out)
+		}
+	}
+}
+
 // steadyLoadLogsNothing checks that only changes of state are logged.
 func (c *cluster) steadyLoadLogsNothing(t *testing.T) {
 	before := c.logged()
--- a/controller/dump.go
+++ b/controller/dump.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/turmericlift/turmericlift/assigner"
 	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
@@ -19,6 +20,9 @@
 	Incarnation identifier.Incarnation
 	Synced      bool
 	Revision    identifier.Version
+	// ContactMs is the time since the platform was last reached, directly or through a
+	// peer, in ms.
+	ContactMs   int64
 	Members     []DumpMember
 	Zones       map[identifier.Zone]configurer.ZoneState
 	Granters    []DumpRoster
@@ -48,6 +52,8 @@
 	Moving     []identifier.Partition
 	Owned      map[identifier.BackendServer]int // Partitions per backend server.
 	Pins       int
+	// Waits says what moving partitions wait for; only the assigner knows.
+	Waits []assigner.Wait `json:",omitempty"`
 }
 
 // DumpServer is a backend server that the instance coordinates.
@@ -65,6 +71,7 @@
 	d := Dump{
 		Instance: c.cfg.Self.Instance, Zone: c.cfg.Self.Zone, Incarnation: c.cfg.Incarnation,
 		Synced: c.synced, Revision: c.revision, Zones: c.zones.States,
+		ContactMs: now.Sub(c.prober.ContactAt()).Milliseconds(),
 	}
 	for _, news := range c.prober.Members() {
 		d.Members = append(d.Members, DumpMember{news.Peer, news.Status.String(), news.Incarnation})
@@ -73,7 +80,7 @@
 		d.Granters = append(d.Granters, DumpRoster{z, c.rosters[z].Members})
 	}
 	for _, s := range c.services() {
-		d.Services = append(d.Services, c.dumpService(s))
+		d.Services = append(d.Services, c.dumpService(now, s))
 	}
 	for _, h := range c.granter.Held() {
 		d.Coordinates = append(d.Coordinates, DumpServer{
@@ -83,10 +90,10 @@
 	return d
 }
 
-func (c *Controller) dumpService(s identifier.ServiceName) DumpService {
+func (c *Controller) dumpService(now time.Time, s identifier.ServiceName) DumpService {
 	d := DumpService{
 		Service: s, Assigner: c.assigners[s].Holder(), Version: c.objects[AssignmentName(s)].Version,
-		Owned: map[identifier.BackendServer]int{},
+		Owned: map[identifier.BackendServer]int{}, Waits: c.assigners[s].Waits(now),
 	}
 	a := c.assigned[s]
 	if a == nil {
--- a/controller/message_test.go
+++ b/controller/message_test.go
@@ -1,11 +1,14 @@
 package controller
 
 import (
+	"encoding/json"
 	"os/exec"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/prober"
 	"github.com/turmericlift/turmericlift/storer"
@@ -57,6 +60,22 @@
 	}
 }
 
+// TestDump compares the dump of an instance with the golden file, while a partition
+// waits for the promise of a paused instance.
+func TestDump(t *testing.T) {
+	t.Parallel()
+	w := newWorld(5, worldSize{zones: 1, instances: 2, servers: 2, partitions: 8})
+	w.run(warmUp)
+	w.pause(&w.instances[1].process)
+	faults["LoseServer"](w, fault{Target: 0})
+	w.run(4 * time.Second)
+	data, err := json.MarshalIndent(w.instances[0].ctl.Dump(w.now), "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t, goldie.WithFixtureDir("_fixtures")).Assert(t, "dump", data)
+}
+
 // FuzzDecodeMessage feeds the decoder of peer messages, and the controller with what
 // it makes of them.
 func FuzzDecodeMessage(f *testing.F) {
--- a/operator/instances.go
+++ b/operator/instances.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/dghubble/sling"
 
+	"github.com/turmericlift/turmericlift/assigner"
 	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/identifier"
@@ -73,6 +74,13 @@
 	Instances []InstanceStatus
 	Servers   []ServerStatus
 	Services  []controller.DumpService
+	Waits     []ServiceWait
+}
+
+// ServiceWait is a partition of a service that waits while it moves.
+type ServiceWait struct {
+	Service identifier.ServiceName
+	assigner.Wait
 }
 
 // InstanceStatus is the state of one instance.
@@ -84,6 +92,7 @@
 	Sees        int // Live instances, itself included.
 	Coordinates int // Backend servers.
 	ZoneState   configurer.ZoneState
+	ContactMs   int64 // Since the platform was last reached, in ms.
 }
 
 // ServerStatus is the state of one backend server.
@@ -116,6 +125,11 @@
 		if len(d.Services) > len(s.Services) {
 			s.Services = d.Services
 		}
+		for _, service := range d.Services {
+			for _, wait := range service.Waits {
+				s.Waits = append(s.Waits, ServiceWait{service.Service, wait})
+			}
+		}
 	}
 	return s
 }
@@ -138,7 +152,7 @@
 	if !ok {
 		zone = configurer.ZoneIn
 	}
-	return InstanceStatus{d.Instance, d.Zone, state, d.Revision, sees, len(d.Coordinates), zone}
+	return InstanceStatus{d.Instance, d.Zone, state, d.Revision, sees, len(d.Coordinates), zone, d.ContactMs}
 }
 
 func (c *console) printStatus(s Status) error {
@@ -148,9 +162,9 @@
 	var rows [][]string
 	for _, i := range s.Instances {
 		rows = append(rows, []string{string(i.Instance), string(i.Zone), string(i.ZoneState), i.State,
-			fmt.Sprint(i.Revision), fmt.Sprint(i.Sees), fmt.Sprint(i.Coordinates)})
+			fmt.Sprint(i.Revision), fmt.Sprint(i.Sees), fmt.Sprint(i.Coordinates), fmt.Sprint(i.ContactMs)})
 	}
-	if err := c.print(nil, "Instance Zone ZoneState State Revision Sees Coordinates", rows); err != nil {
+	if err := c.print(nil, "Instance Zone ZoneState State Revision Sees Coordinates ContactMs", rows); err != nil {
 		return err
 	}
 	rows = nil
@@ -168,7 +182,13 @@
 			fmt.Sprint(d.Partitions), fmt.Sprint(len(d.Moving)), fmt.Sprint(d.Pins)})
 	}
 	fmt.Fprintln(c.out)
-	return c.print(nil, "Service Assigner Version Partitions Moving Pins", rows)
+	if err := c.print(nil, "Service Assigner Version Partitions Moving Pins", rows); err != nil {
+		return err
+	}
+	for _, w := range s.Waits {
+		fmt.Fprintf(c.out, "%s partition %d has waited %d ms for %s\n", w.Service, w.Partition, w.SinceMs, w.For)
+	}
+	return nil
 }
 
 func setUpWhere(c *kingpin.CmdClause) func(context.Context, *console) error {
