--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -75,8 +75,8 @@
 // plan marks the partitions that should move.
 func (a *Assigner) plan(now time.Time, next *partitioner.Assignment) bool {
 	limit := 0
-	if now.Sub(a.balancedAt) >= balanceEvery && len(a.marks) == 0 {
-		limit = max(1, a.settings.BalanceMovesPerMinute*int(balanceEvery/time.Second)/60)
+	if len(a.marks) == 0 {
+		limit = balanceLimit(a.settings.BalanceMovesPerMinute, now.Sub(a.balancedAt))
 	}
 	servers := a.candidates(now)
 	weights := a.loads.weights(next.Len())
@@ -101,6 +101,15 @@
 	return a.updatePins(now, next) || changed
 }
 
+// balanceLimit returns how many moves that only even out load may begin, so long after
+// the last ones.
+func balanceLimit(perMinute int, since time.Duration) int {
+	if perMinute == 0 || since < balanceEvery || since < time.Minute/time.Duration(perMinute) {
+		return 0
+	}
+	return max(1, perMinute*int(balanceEvery/time.Second)/int(time.Minute/time.Second))
+}
+
 // apply places or marks one partition. A move from a server that still serves is
 // put off while a granter that would have to promise does not answer: the partition
 // would be out of service until it does.
--- a/assigner/planner_test.go
+++ b/assigner/planner_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -203,6 +204,27 @@
 	}
 }
 
+// TestBalanceLimit is the table of the moves that may begin.
+func TestBalanceLimit(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		perMinute int
+		since     time.Duration
+		want      int
+	}{
+		{0, time.Hour, 0},
+		{120, time.Second, 0},
+		{120, 2 * time.Second, 4},
+		{6, 9 * time.Second, 0},
+		{6, 10 * time.Second, 1},
+	}
+	for _, c := range cases {
+		if got := balanceLimit(c.perMinute, c.since); got != c.want {
+			t.Errorf("%d a minute, %s after the last: %d, want %d", c.perMinute, c.since, got, c.want)
+		}
+	}
+}
+
 // BenchmarkDecide measures a plan after the loss of one server.
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []struct{ partitions, servers int }{{256, 20}, {4096, 120}, {65536, 1800}} {
