answerer, assigner, runner: one fingerprint, servers judged once a decision, dead hints out

Found on reading the whole change again; behaviour stays as it is. - recorder and quarantiner each hashed requests; Request.Fingerprint serves both, and the guard computes it only when something is quarantined, where every request's body was hashed twice before. - an assigner judged its servers up to four times a decision and copied the table of servers for each mark; it does so once, and the assignment answers for a server's zone. - the control loop gathered all services' settings after every event; now on change. - the dispatcher's hints were never filled: nothing named another coordinator. Taken out. - a keeper never forgot attempts whose write was lost for good; it does after the next write.

--- a/answerer/answerer.go
+++ b/answerer/answerer.go
@@ -47,8 +47,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Coordinator names the coordinator to ask instead, with CodeNotCoordinator.
-	Coordinator identifier.Instance
 }
 
 // Refuse returns the answer to a request that no backend server has started.
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -222,13 +222,14 @@
 		return a.create(now)
 	}
 	next := a.assignment.Clone()
-	changed := a.finish(now, next)
+	servers := a.candidates(now)
+	changed := a.finish(now, next, servers)
 	if !planning {
 		return next, changed
 	}
-	changed = a.revise(now, next) || changed
+	changed = a.revise(now, next, servers) || changed
 	if now.Sub(a.ledSince) >= a.cfg.Settle {
-		changed = a.plan(now, next) || changed
+		changed = a.plan(now, next, servers) || changed
 	}
 	return next, changed
 }
--- a/assigner/move.go
+++ b/assigner/move.go
@@ -11,14 +11,13 @@
 
 // finish commits the marked partitions whose old grants are all over, to servers
 // that can take them now.
-func (a *Assigner) finish(now time.Time, next *partitioner.Assignment) bool {
+func (a *Assigner) finish(now time.Time, next *partitioner.Assignment, servers []Candidate) bool {
 	changed := false
-	servers := a.candidates(now)
 	for _, p := range next.Moving() {
 		if !a.over(now, a.marks[p]) {
 			continue
 		}
-		if to, _ := next.Next(p); a.receives(servers, to) {
+		if to, _ := next.Next(p); receives(servers, to) {
 			changed = next.Commit(p) == nil || changed
 			continue
 		}
@@ -36,7 +35,7 @@
 	if !ok {
 		return false
 	}
-	zone := a.zoneOf(owner)
+	zone := a.assignment.ZoneOf(owner)
 	return a.promised(now, m) && a.promises.over(now, m.grant, a.rosters[zone].roster.Members)
 }
 
@@ -44,7 +43,7 @@
 // promised not to, and none can join that has not.
 func (a *Assigner) promised(now time.Time, m mark) bool {
 	owner, _, _ := a.assignment.Owner(m.grant.Partition)
-	zone := a.zoneOf(owner)
+	zone := a.assignment.ZoneOf(owner)
 	view, ok := a.rosters[zone]
 	if !ok || view.roster.Floors[a.cfg.Service] < m.version {
 		return false
@@ -57,24 +56,14 @@
 // excused reports whether a member of a zone's roster has been fenced for so long
 // that nothing of it is in force.
 func (a *Assigner) excused(now time.Time, z identifier.Zone, m granter.Member) bool {
-	at, known := a.fencedAt[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
+	at, known := a.fencedAt[m.Holder()]
 	return m.Fenced && known && now.Sub(at) >= a.holdOf(z)+a.cfg.Grace
 }
 
-func (a *Assigner) zoneOf(b identifier.BackendServer) identifier.Zone {
-	for _, s := range a.assignment.Servers() {
-		if s.ID == b {
-			return s.Zone
-		}
-	}
-	return ""
-}
-
 // revise redirects marks whose next owner may keep nothing any more, and takes back
 // those that wait for long though their owner answers.
-func (a *Assigner) revise(now time.Time, next *partitioner.Assignment) bool {
+func (a *Assigner) revise(now time.Time, next *partitioner.Assignment, servers []Candidate) bool {
 	changed := false
-	servers := a.candidates(now)
 	for _, p := range next.Moving() {
 		m := a.marks[p]
 		owner, _, _ := next.Owner(p)
@@ -83,7 +72,7 @@
 			changed = next.Abort(p) == nil || changed
 			continue
 		}
-		if a.evacuates(servers, to) {
+		if evacuates(servers, to) {
 			changed = redirect(next, p, servers) || changed
 		}
 	}
@@ -117,10 +106,10 @@
 	return !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportFresh
 }
 
-func (a *Assigner) receives(servers []Candidate, b identifier.BackendServer) bool {
+func receives(servers []Candidate, b identifier.BackendServer) bool {
 	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Receive })
 }
 
-func (a *Assigner) evacuates(servers []Candidate, b identifier.BackendServer) bool {
+func evacuates(servers []Candidate, b identifier.BackendServer) bool {
 	return slices.ContainsFunc(servers, func(c Candidate) bool { return c.ID == b && c.Evacuate })
 }
--- a/assigner/observe.go
+++ b/assigner/observe.go
@@ -32,7 +32,7 @@
 	}
 	a.rosters[e.Zone] = rosterView{e.Version, e.Roster}
 	for _, m := range e.Roster.Members {
-		h := granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}
+		h := m.Holder()
 		if _, known := a.fencedAt[h]; m.Fenced && !known {
 			a.fencedAt[h] = now
 		}
--- a/assigner/pins.go
+++ b/assigner/pins.go
@@ -24,7 +24,7 @@
 
 // updatePins gives the keys that the settings name, and those that are found hot, a
 // partition of their own, and takes it from those that are neither any more.
-func (a *Assigner) updatePins(now time.Time, next *partitioner.Assignment) bool {
+func (a *Assigner) updatePins(now time.Time, next *partitioner.Assignment, servers []Candidate) bool {
 	if now.Sub(a.pinnedAt) < pinEvery {
 		return false
 	}
@@ -34,7 +34,7 @@
 	for _, k := range a.settings.PinnedKeys {
 		changed = a.pin(next, k) || changed
 	}
-	mean := a.meanLoad(now)
+	mean := a.meanLoad(servers)
 	for _, k := range a.hotKeys(mean) {
 		if len(next.Pins()) < a.settings.AutoPins {
 			changed = a.pin(next, k) || changed
@@ -54,9 +54,9 @@
 }
 
 // meanLoad returns the mean load of the backend servers that may own partitions.
-func (a *Assigner) meanLoad(now time.Time) float64 {
+func (a *Assigner) meanLoad(servers []Candidate) float64 {
 	holders := 0
-	for _, c := range a.candidates(now) {
+	for _, c := range servers {
 		if !c.Evacuate {
 			holders++
 		}
@@ -102,10 +102,10 @@
 		return false
 	}
 	from, _, _ := next.Owner(p)
-	if !a.grantersAnswer(a.zoneOf(from)) {
+	if !a.grantersAnswer(a.assignment.ZoneOf(from)) {
 		return false
 	}
-	return next.Mark(p, partitioner.Server{ID: owner, Zone: a.zoneOf(owner)}) == nil
+	return next.Mark(p, partitioner.Server{ID: owner, Zone: a.assignment.ZoneOf(owner)}) == nil
 }
 
 // placed returns the partitions of the keys that operators have placed.
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -73,12 +73,11 @@
 }
 
 // plan marks the partitions that should move.
-func (a *Assigner) plan(now time.Time, next *partitioner.Assignment) bool {
+func (a *Assigner) plan(now time.Time, next *partitioner.Assignment, servers []Candidate) bool {
 	limit := 0
 	if len(a.marks) == 0 {
 		limit = balanceLimit(a.settings.BalanceMovesPerMinute, now.Sub(a.balancedAt))
 	}
-	servers := a.candidates(now)
 	weights := a.loads.weights(next.Len())
 	weights.Fixed = a.placed(next)
 	plan := Decide(next, weights, servers, limit)
@@ -98,7 +97,7 @@
 			changed = true
 		}
 	}
-	return a.updatePins(now, next) || changed
+	return a.updatePins(now, next, servers) || changed
 }
 
 // balanceLimit returns how many moves that only even out load may begin, so long after
@@ -120,7 +119,7 @@
 	}
 	s, known := a.servers[owner]
 	serves := known && s.listed && !a.down(now, s)
-	if serves && (*room <= 0 || !a.grantersAnswer(a.zoneOf(owner))) {
+	if serves && (*room <= 0 || !a.grantersAnswer(a.assignment.ZoneOf(owner))) {
 		return false
 	}
 	if serves {
--- a/assigner/promises.go
+++ b/assigner/promises.go
@@ -47,7 +47,7 @@
 // promise any more.
 func (ps promises) given(v identifier.Version, members []granter.Member, excused func(granter.Member) bool) bool {
 	for _, m := range members {
-		p, ok := ps[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
+		p, ok := ps[m.Holder()]
 		if !excused(m) && (!ok || p.version < v) {
 			return false
 		}
@@ -60,7 +60,7 @@
 // that had it.
 func (ps promises) over(now time.Time, g granter.Grant, members []granter.Member) bool {
 	for _, m := range members {
-		p := ps[granter.Holder{Instance: m.Instance, Incarnation: m.Incarnation}]
+		p := ps[m.Holder()]
 		for id, until := range p.outstanding {
 			if id.Grant == g && until.After(now) && !ps.revoked(id) {
 				return false
--- a/assigner/rosters.go
+++ b/assigner/rosters.go
@@ -46,7 +46,7 @@
 func (a *Assigner) raiseFloor(z identifier.Zone, r *granter.Roster) bool {
 	var highest identifier.Version
 	for p, m := range a.marks {
-		if owner, _, _ := a.assignment.Owner(p); a.zoneOf(owner) == z {
+		if owner, _, _ := a.assignment.Owner(p); a.assignment.ZoneOf(owner) == z {
 			highest = max(highest, m.version)
 		}
 	}
@@ -78,7 +78,7 @@
 func (a *Assigner) waits(now time.Time, z identifier.Zone) bool {
 	for p, m := range a.marks {
 		owner, _, _ := a.assignment.Owner(p)
-		if now.Sub(m.seenAt) >= fenceAfter && a.zoneOf(owner) == z {
+		if now.Sub(m.seenAt) >= fenceAfter && a.assignment.ZoneOf(owner) == z {
 			return true
 		}
 	}
--- a/assigner/wait.go
+++ b/assigner/wait.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 )
 
@@ -33,14 +32,14 @@
 
 func (a *Assigner) reason(now time.Time, m mark) string {
 	owner, _, _ := a.assignment.Owner(m.grant.Partition)
-	zone := a.zoneOf(owner)
+	zone := a.assignment.ZoneOf(owner)
 	roster := a.rosters[zone].roster
 	if roster.Floors[a.cfg.Service] < m.version {
 		return fmt.Sprintf("the platform to take the floor of the roster of %s", zone)
 	}
 	var missing []string
 	for _, member := range roster.Members {
-		p := a.promises[granter.Holder{Instance: member.Instance, Incarnation: member.Incarnation}]
+		p := a.promises[member.Holder()]
 		if p.version < m.version && !a.excused(now, zone, member) {
 			missing = append(missing, string(member.Instance))
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,7 +15,6 @@
 	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
-	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/sender"
 )
 
@@ -26,8 +25,8 @@
 
 // Guard learns which requests crash backend servers.
 type Guard interface {
-	Crashed(f quarantiner.Fingerprint)
-	Completed(f quarantiner.Fingerprint)
+	Crashed(r answerer.Request)
+	Completed(r answerer.Request)
 }
 
 // View is what the control loop publishes for the request path.
@@ -222,9 +221,9 @@
 func (c *Coordinator) learn(r answerer.Request, a answerer.Answer) {
 	switch {
 	case a.Outcome == answerer.Ran:
-		c.guard.Completed(quarantiner.FingerprintOf(r))
+		c.guard.Completed(r)
 	case a.Code == answerer.CodeBackendBroke:
-		c.guard.Crashed(quarantiner.FingerprintOf(r))
+		c.guard.Crashed(r)
 	}
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -15,7 +15,6 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/imitator"
 	"github.com/turmericlift/turmericlift/partitioner"
-	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/sender"
 )
 
@@ -23,8 +22,8 @@
 
 type noGuard struct{}
 
-func (noGuard) Crashed(quarantiner.Fingerprint)   {}
-func (noGuard) Completed(quarantiner.Fingerprint) {}
+func (noGuard) Crashed(answerer.Request)   {}
+func (noGuard) Completed(answerer.Request) {}
 
 // rig is a Coordinator over one backend server stand-in, which it renews by hand.
 type rig struct {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,7 +19,6 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/journaler"
 	"github.com/turmericlift/turmericlift/prober"
-	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/router"
 	"github.com/turmericlift/turmericlift/supervisor"
@@ -39,7 +38,7 @@
 
 // Guard knows the requests that crash backend servers.
 type Guard interface {
-	Blocked(f quarantiner.Fingerprint) bool
+	Blocked(r answerer.Request) bool
 }
 
 // Caller sends a request to another instance. A transporter.UnreachableError says
@@ -71,7 +70,6 @@
 	tasks    *supervisor.Group
 	clock    func() time.Time
 	view     atomic.Pointer[View]
-	hints    sync.Map // identifier.BackendServer to identifier.Instance, learnt from refusals.
 
 	mu      sync.Mutex
 	pools   map[identifier.ServiceName]*pool
@@ -117,7 +115,7 @@
 	deadline := d.clock().Add(r.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if d.guard.Blocked(quarantiner.FingerprintOf(r)) {
+	if d.guard.Blocked(r) {
 		return answerer.Refuse(answerer.CodeQuarantined, "requests like this one have crashed backend servers")
 	}
 	if r.Idempotent {
@@ -234,24 +232,13 @@
 	}
 }
 
-// send sends a request to a coordinator: the one that was learnt last, or else the
-// one that ranks first.
+// send sends a request to a coordinator with the time that is left.
 func (d *Dispatcher) send(ctx context.Context, r answerer.Request, to identifier.Instance, deadline time.Time) answerer.Answer {
-	if hint, ok := d.hints.Load(r.Server); ok {
-		to = hint.(identifier.Instance)
-	}
 	r.Remaining = deadline.Sub(d.clock())
 	if r.Remaining <= 0 {
 		return answerer.Refuse(answerer.CodeExpired, "before it was sent to the coordinator")
 	}
-	answer := d.sendTo(ctx, r, to)
-	switch {
-	case answer.Code == answerer.CodeNotCoordinator && answer.Coordinator != "":
-		d.hints.Store(r.Server, answer.Coordinator)
-	case answer.Code == answerer.CodeNotCoordinator, answer.Code == answerer.CodePeerUnreachable, answer.Code == answerer.CodePeerBroke:
-		d.hints.Delete(r.Server)
-	}
-	return answer
+	return d.sendTo(ctx, r, to)
 }
 
 func (d *Dispatcher) sendTo(ctx context.Context, r answerer.Request, to identifier.Instance) answerer.Answer {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -13,7 +13,6 @@
 	"github.com/turmericlift/turmericlift/journaler"
 	"github.com/turmericlift/turmericlift/partitioner"
 	"github.com/turmericlift/turmericlift/prober"
-	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/recorder"
 	"github.com/turmericlift/turmericlift/router"
 	"github.com/turmericlift/turmericlift/transporter"
@@ -46,7 +45,7 @@
 
 type blocking struct{}
 
-func (blocking) Blocked(quarantiner.Fingerprint) bool { return true }
+func (blocking) Blocked(answerer.Request) bool { return true }
 
 // breaking loses every call after it was sent.
 type breaking struct{ err error }
--- a/dispatcher/stragglers_test.go
+++ b/dispatcher/stragglers_test.go
@@ -14,7 +14,6 @@
 	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
-	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/router"
 	"github.com/turmericlift/turmericlift/supervisor"
 )
@@ -51,7 +50,7 @@
 
 type noGuard struct{}
 
-func (noGuard) Blocked(quarantiner.Fingerprint) bool { return false }
+func (noGuard) Blocked(answerer.Request) bool { return false }
 
 // ledger is Quokka's pool: 8 servers with 2 slots.
 func ledger(servers int) (*router.Table, *fakePool) {
--- a/granter/roster.go
+++ b/granter/roster.go
@@ -20,6 +20,9 @@
 	Fenced bool
 }
 
+// Holder names the member's process.
+func (m Member) Holder() Holder { return Holder{m.Instance, m.Incarnation} }
+
 // Roster is the aggregate that says who may grant partitions to the backend servers
 // of one zone. It is one object on the platform and changes by conditional writes
 // only, which makes it the point that a takeover and a newly started instance
--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -29,12 +29,9 @@
 	Number      uint64
 }
 
-// Fingerprint tells different requests apart that came under one ID.
-type Fingerprint uint64
-
 // Entry is the record of one request.
 type Entry struct {
-	Fingerprint Fingerprint
+	Fingerprint answerer.Fingerprint
 	Nonce       Nonce
 	State       State
 	At          time.Time // When it was recorded.
@@ -117,7 +114,7 @@
 
 type entryDocument struct {
 	ID          identifier.RequestID
-	Fingerprint Fingerprint
+	Fingerprint answerer.Fingerprint
 	Nonce       Nonce
 	State       State
 	AtMs        int64
--- a/journaler/keeper.go
+++ b/journaler/keeper.go
@@ -43,7 +43,7 @@
 type Begin struct {
 	Token       Token
 	ID          identifier.RequestID
-	Fingerprint Fingerprint
+	Fingerprint answerer.Fingerprint
 	Deadline    time.Time
 }
 
@@ -182,7 +182,10 @@
 	for _, e := range k.journal.entries {
 		held[e.Nonce] = true
 	}
-	maps.DeleteFunc(k.running, func(n Nonce, _ bool) bool { return !held[n] })
+	gone := func(n Nonce, _ bool) bool { return !held[n] }
+	maps.DeleteFunc(k.running, gone)
+	// No write from before this one can take effect any more.
+	maps.DeleteFunc(k.orphaned, gone)
 }
 
 func (k *Keeper) run(f flight) Verdict {
@@ -280,36 +283,26 @@
 
 // expire answers those whose deadline has passed while they waited.
 func (k *Keeper) expire(now time.Time, out *Output) {
-	left := k.queue[:0]
-	for _, b := range k.queue {
-		if now.Before(b.Deadline) {
-			left = append(left, b)
-			continue
-		}
-		out.Verdicts = append(out.Verdicts, Verdict{Token: b.Token, Decision: Late})
-	}
-	k.queue = left
+	k.queue = out.drop(now, k.queue, Late)
 	for id, waiting := range k.watchers {
-		for _, b := range waiting {
-			if !now.Before(b.Deadline) {
-				out.Verdicts = append(out.Verdicts, Verdict{Token: b.Token, Decision: InDoubt})
-			}
+		k.watchers[id] = out.drop(now, waiting, InDoubt)
+		if len(k.watchers[id]) == 0 {
+			delete(k.watchers, id)
 		}
-		k.keepWatchers(now, id)
 	}
 }
 
-func (k *Keeper) keepWatchers(now time.Time, id identifier.RequestID) {
-	var left []Begin
-	for _, b := range k.watchers[id] {
+// drop gives a decision to those whose deadline has passed, and returns the others.
+func (o *Output) drop(now time.Time, waiting []Begin, d Decision) []Begin {
+	left := waiting[:0]
+	for _, b := range waiting {
 		if now.Before(b.Deadline) {
 			left = append(left, b)
+			continue
 		}
+		o.Verdicts = append(o.Verdicts, Verdict{Token: b.Token, Decision: d})
 	}
-	k.watchers[id] = left
-	if len(left) == 0 {
-		delete(k.watchers, id)
-	}
+	return left
 }
 
 // decide answers those whose request is recorded already; the others stay queued.
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -162,6 +162,14 @@
 // Servers returns the backend servers that the assignment names, in no order of rank.
 func (a *Assignment) Servers() []Server { return slices.Clone(a.servers) }
 
+// ZoneOf returns the zone of a backend server that the assignment names, or "".
+func (a *Assignment) ZoneOf(b identifier.BackendServer) identifier.Zone {
+	if s := a.indexOf(b); s != none {
+		return a.servers[s].Zone
+	}
+	return ""
+}
+
 // Pins returns the pinned keys in the order of their partitions.
 func (a *Assignment) Pins() []Pin {
 	pins := make([]Pin, 0, len(a.pinned))
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -8,28 +8,10 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/identifier"
 )
 
-// Fingerprint names requests that are alike: of one service, key, method, path and
-// body.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(r answerer.Request) Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	for _, field := range []string{r.Service.String(), string(r.Key), r.Method, r.Path} {
-		_, _ = d.WriteString(field) // A hash's Write never fails.
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Body)
-	return Fingerprint(d.Sum64())
-}
-
 // Run names one run of a request, so that a crash that is heard of twice counts once.
 type Run struct {
 	Instance    identifier.Instance
@@ -39,7 +21,7 @@
 
 // Crash is the report of a crash that a request was part of.
 type Crash struct {
-	Fingerprint Fingerprint
+	Fingerprint answerer.Fingerprint
 	Run         Run
 }
 
@@ -59,11 +41,11 @@
 
 // Quarantiner is the state of one instance.
 type Quarantiner struct {
-	suspects map[Fingerprint]*suspect
+	suspects map[answerer.Fingerprint]*suspect
 }
 
 // New returns a Quarantiner that has seen no crash.
-func New() *Quarantiner { return &Quarantiner{map[Fingerprint]*suspect{}} }
+func New() *Quarantiner { return &Quarantiner{map[answerer.Fingerprint]*suspect{}} }
 
 // Crashed takes in a crash, seen here or by another instance, and reports whether it
 // was new.
@@ -84,14 +66,14 @@
 
 // Completed takes in that a request has run to its end, and clears its fingerprint
 // unless it is blocked.
-func (q *Quarantiner) Completed(f Fingerprint) {
+func (q *Quarantiner) Completed(f answerer.Fingerprint) {
 	if s, ok := q.suspects[f]; ok && len(s.runs) < Crashes {
 		delete(q.suspects, f)
 	}
 }
 
 // Blocked reports whether requests of a fingerprint are refused now.
-func (q *Quarantiner) Blocked(now time.Time, f Fingerprint) bool {
+func (q *Quarantiner) Blocked(now time.Time, f answerer.Fingerprint) bool {
 	s, ok := q.suspects[f]
 	if !ok {
 		return false
@@ -111,7 +93,7 @@
 	if len(q.suspects) < maxSuspects {
 		return
 	}
-	var oldest Fingerprint
+	var oldest answerer.Fingerprint
 	oldestAt := now
 	for f, s := range q.suspects {
 		if now.Sub(s.lastAt) >= BlockFor {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,7 +102,7 @@
 type BeginCall struct {
 	Group       Group
 	ID          identifier.RequestID
-	Fingerprint journaler.Fingerprint
+	Fingerprint answerer.Fingerprint
 	Remaining   time.Duration
 	Options     Options
 }
@@ -119,8 +118,8 @@
 
 // Begin asks whether a request may run, and waits for the verdict.
 func (r *Recorder) Begin(ctx context.Context, req answerer.Request, s configurer.Effective) (journaler.Verdict, Ticket) {
-	group := Group{req.Service, int(xxhash.Sum64String(string(req.ID)) % uint64(max(1, s.JournalGroups)))}
-	call := BeginCall{group, req.ID, fingerprint(req), req.Remaining, optionsOf(s)}
+	group := groupOf(req.Service, req.ID, s)
+	call := BeginCall{group, req.ID, req.Fingerprint(), req.Remaining, optionsOf(s)}
 	keeper, address := r.keeperOf(group)
 	verdict := journaler.Verdict{Decision: journaler.Unavailable}
 	if keeper == r.self {
@@ -196,19 +195,9 @@
 	return reply
 }
 
-// fingerprint tells requests apart that come under one ID.
-func fingerprint(req answerer.Request) journaler.Fingerprint {
-	d := xxhash.New()
-	writeField(d, []byte(req.Method))
-	writeField(d, []byte(req.Path))
-	writeField(d, []byte(req.Key))
-	writeField(d, req.Body)
-	return journaler.Fingerprint(d.Sum64())
-}
-
-func writeField(d hash.Hash, field []byte) {
-	_, _ = d.Write(field) // A hash's Write never fails.
-	_, _ = d.Write([]byte{0})
+// groupOf returns the group of a request.
+func groupOf(service identifier.ServiceName, id identifier.RequestID, s configurer.Effective) Group {
+	return Group{service, int(xxhash.Sum64String(string(id)) % uint64(max(1, s.JournalGroups)))}
 }
 
 // Found is what is recorded of a request.
@@ -222,8 +211,7 @@
 
 // Find returns what the platform has recorded of a request.
 func (r *Recorder) Find(ctx context.Context, service identifier.ServiceName, id identifier.RequestID, s configurer.Effective) (Found, error) {
-	group := Group{service, int(xxhash.Sum64String(string(id)) % uint64(max(1, s.JournalGroups)))}
-	o, err := r.store.Read(ctx, ObjectName(group))
+	o, err := r.store.Read(ctx, ObjectName(groupOf(service, id, s)))
 	if errors.Is(err, storer.ErrNotFound) {
 		return Found{}, ErrNotRecorded
 	}
--- a/runner/actions.go
+++ b/runner/actions.go
@@ -12,6 +12,7 @@
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/prober"
+	"github.com/turmericlift/turmericlift/router"
 	"github.com/turmericlift/turmericlift/storer"
 	"github.com/turmericlift/turmericlift/transporter"
 )
@@ -214,10 +215,10 @@
 	return h.r.dispatch.Serve(ctx, data)
 }
 
-// settings returns the settings of each service, for the request path.
-func (r *Runner) settings() map[identifier.ServiceName]configurer.Effective {
+// settingsOf returns the settings of each service of a table.
+func settingsOf(t *router.Table) map[identifier.ServiceName]configurer.Effective {
 	settings := map[identifier.ServiceName]configurer.Effective{}
-	for name, s := range r.dispatch.Table().Services {
+	for name, s := range t.Services {
 		settings[name] = s.Settings
 	}
 	return settings
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/quarantiner"
 )
@@ -16,7 +17,7 @@
 	incarnation identifier.Incarnation
 	clock       func() time.Time
 	report      func(quarantiner.Crash)
-	empty       atomic.Bool // Spares the request path the lock.
+	empty       atomic.Bool // Spares the request path the lock and the hash.
 
 	mu     sync.Mutex
 	quar   *quarantiner.Quarantiner
@@ -29,32 +30,32 @@
 	return g
 }
 
-// Blocked reports whether requests of a fingerprint are refused now.
-func (g *guard) Blocked(f quarantiner.Fingerprint) bool {
+// Blocked reports whether a request is refused now.
+func (g *guard) Blocked(r answerer.Request) bool {
 	if g.empty.Load() {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quar.Blocked(g.clock(), f)
+	return g.quar.Blocked(g.clock(), r.Fingerprint())
 }
 
 // Completed takes in that a request has run to its end.
-func (g *guard) Completed(f quarantiner.Fingerprint) {
+func (g *guard) Completed(r answerer.Request) {
 	if g.empty.Load() {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quar.Completed(f)
+	g.quar.Completed(r.Fingerprint())
 	g.empty.Store(g.quar.Len() == 0)
 }
 
 // Crashed takes in a crash that this instance has seen, and reports it to the others.
-func (g *guard) Crashed(f quarantiner.Fingerprint) {
+func (g *guard) Crashed(r answerer.Request) {
 	g.mu.Lock()
 	g.number++
-	c := quarantiner.Crash{Fingerprint: f, Run: quarantiner.Run{Instance: g.instance, Incarnation: g.incarnation, Number: g.number}}
+	c := quarantiner.Crash{Fingerprint: r.Fingerprint(), Run: quarantiner.Run{Instance: g.instance, Incarnation: g.incarnation, Number: g.number}}
 	g.mu.Unlock()
 	g.hear(c)
 	g.report(c)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericlift/turmericlift/configurer"
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/coordinator"
 	"github.com/turmericlift/turmericlift/dispatcher"
@@ -74,6 +75,7 @@
 	leaving   atomic.Bool
 	readsList atomic.Bool
 	revision  atomic.Uint64
+	settings  map[identifier.ServiceName]configurer.Effective // The control loop's.
 	tasks     *supervisor.Group
 	stop      context.CancelFunc // Ends the parts, once the shutdown is over.
 	parts     context.Context
@@ -296,11 +298,12 @@
 	if edit != published {
 		table := r.ctl.Table()
 		r.dispatch.Publish(&dispatcher.View{Table: table, Peers: r.ctl.Peers()})
+		r.settings = settingsOf(table)
 		r.record.Publish(&recorder.View{Live: r.ctl.Live()})
 		r.readsList.Store(r.ctl.ReadsList())
 		r.dropDead()
 	}
-	view := &coordinator.View{Held: map[identifier.BackendServer]heldServer{}, Settings: r.settings()}
+	view := &coordinator.View{Held: map[identifier.BackendServer]heldServer{}, Settings: r.settings}
 	for _, h := range r.ctl.Held() {
 		view.Held[h.Server.ID] = h
 	}
