--- /dev/null
+++ b/allocator/allocation.go
@@ -0,0 +1,278 @@
+// Package allocator decides which backend server owns which keys of a service. An
+// allocation is one object on the platform that changes by conditional writes only. A
+// key moves in two of them: the mark tells the owner's granters to take the key back,
+// the commit names the next owner under a higher epoch, once they have.
+//
+// Nothing in this package does I/O or reads a clock.
+package allocator
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
+)
+
+// Segment is a range of keys with one owner.
+type Segment struct {
+	Range identifier.Range
+	Owner identifier.BackendServer `json:",omitempty"` // Empty: nobody owns the keys.
+	Life  registrar.Life           `json:",omitempty"` // The process of the owner that the keys were given to.
+	Zone  identifier.Zone          `json:",omitempty"` // The owner's zone.
+	Epoch identifier.Epoch
+	// Handover is what the owner gets with the grant to know the keys' state.
+	Handover string `json:",omitempty"`
+	// Moving says that the owner is to be granted the keys no more.
+	Moving bool `json:",omitempty"`
+}
+
+// Allocation is one version of a service's allocation.
+type Allocation struct {
+	Service   identifier.Service
+	NextEpoch identifier.Epoch // Above all epochs ever used.
+	Segments  []Segment        // In order, without gaps.
+	Version   identifier.Version `json:"-"`
+}
+
+// Decode decodes and checks an allocation.
+func Decode(data []byte, v identifier.Version) (*Allocation, error) {
+	a := &Allocation{Version: v}
+	if err := json.Unmarshal(data, a); err != nil {
+		return nil, fmt.Errorf("decode allocation: %w", err)
+	}
+	next := 0
+	for _, s := range a.Segments {
+		if int(s.Range.From) != next || s.Range.To < s.Range.From || s.Epoch >= a.NextEpoch {
+			return nil, fmt.Errorf("allocation of %s: segment %s with epoch %d does not follow key %d, next epoch %d",
+				a.Service, s.Range, s.Epoch, next-1, a.NextEpoch)
+		}
+		next = int(s.Range.To) + 1
+	}
+	if next != identifier.Points {
+		return nil, fmt.Errorf("allocation of %s ends at key %d", a.Service, next-1)
+	}
+	return a, nil
+}
+
+// Encode returns the form that is kept on the platform.
+func (a *Allocation) Encode() ([]byte, error) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		return nil, fmt.Errorf("encode allocation of %s: %w", a.Service, err)
+	}
+	return data, nil
+}
+
+// Find returns the segment of a key.
+func (a *Allocation) Find(p identifier.Point) *Segment {
+	n := sort.Search(len(a.Segments), func(n int) bool { return a.Segments[n].Range.To >= p })
+	return &a.Segments[n]
+}
+
+// Server is a backend server that keys can be given to.
+type Server struct {
+	registrar.Entry
+	// Excluded servers get no keys, and lose those that they have.
+	Excluded bool
+	// Lost servers do not answer their granter.
+	Lost bool
+	// Unsteady servers are in a zone whose granters are not all heard: what is known of
+	// the server may be wrong, and its keys could not be taken back soon.
+	Unsteady bool
+	// Capacity is the requests a second that the server can run.
+	Capacity float64
+}
+
+// usable reports whether the server may own keys.
+func (s Server) usable() bool { return !s.Excluded && !s.Lost && s.Entry.Usable() }
+
+// Release says that a granter has nothing more in force on keys of an owner.
+type Release struct {
+	Service  identifier.Service
+	Range    identifier.Range
+	Epoch    identifier.Epoch
+	Handover string
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Service identifier.Service
+	Now     time.Time
+	Servers map[identifier.BackendServer]Server
+	Heat    *Heat
+	// Balance allows moves that only spread the load.
+	Balance bool
+	// Steady reports whether a zone's granters are all heard, and have been for a while.
+	Steady func(identifier.Zone) bool
+	// Released reports whether every granter of the segment's zone has said that it has
+	// nothing in force there, and the handover if there is one.
+	Released func(Segment) (bool, string)
+}
+
+// Plan returns the next version of an allocation, or nil if nothing is to change. The
+// version nil stands for a service that has none.
+func Plan(a *Allocation, in Input) *Allocation {
+	p := newPlan(a, in)
+	if len(p.load) == 0 {
+		return nil // Without a server that can take keys, nothing gets better.
+	}
+	p.repair()
+	p.commit()
+	if a != nil && !p.changed && in.Balance {
+		p.balance()
+	}
+	if !p.changed {
+		return nil
+	}
+	p.next.Segments = merged(p.next.Segments)
+	return p.next
+}
+
+// plan is an allocation on its way to the next version.
+type plan struct {
+	Input
+	next    *Allocation
+	changed bool
+	load    map[identifier.BackendServer]float64 // Of usable servers: requests a second on their keys.
+}
+
+func newPlan(a *Allocation, in Input) *plan {
+	p := &plan{Input: in, load: map[identifier.BackendServer]float64{}}
+	for id, s := range in.Servers {
+		if s.usable() {
+			p.load[id] = 0
+		}
+	}
+	if a == nil {
+		whole := Segment{Range: identifier.Range{To: identifier.MaxPoint}}
+		p.next = &Allocation{Service: in.Service, NextEpoch: 1, Segments: split(whole, initialParts*max(len(p.load), 1))}
+		return p
+	}
+	next := *a
+	next.Segments = append([]Segment(nil), a.Segments...)
+	p.next = &next
+	for _, s := range next.Segments {
+		if _, ok := p.load[s.Owner]; ok && !s.Moving {
+			p.load[s.Owner] += in.Heat.Rate(s.Range)
+		}
+	}
+	return p
+}
+
+// initialParts is the number of segments that each server gets at first: one, since
+// each costs a renewal.
+const initialParts = 1
+
+// split cuts a segment into n parts of equal length.
+func split(s Segment, n int) []Segment {
+	parts := make([]Segment, 0, n)
+	length := s.Range.Len()
+	for i := range n {
+		part := s
+		part.Range.From = s.Range.From + identifier.Point(length*i/n)
+		part.Range.To = s.Range.From + identifier.Point(length*(i+1)/n-1)
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// repair marks the segments whose owner cannot keep them.
+func (p *plan) repair() {
+	for n := range p.next.Segments {
+		s := &p.next.Segments[n]
+		if s.Owner == "" || s.Moving {
+			continue
+		}
+		owner, ok := p.Servers[s.Owner]
+		if ok && owner.usable() && owner.Life == s.Life {
+			continue
+		}
+		leaving := ok && (owner.Excluded || !owner.Entry.Usable() || owner.Life != s.Life)
+		if !leaving && !p.Steady(s.Zone) {
+			continue
+		}
+		s.Moving = true
+		p.changed = true
+	}
+}
+
+// commit gives segments that nobody holds any more to their next owners, the hottest
+// first.
+func (p *plan) commit() {
+	var free []*Segment
+	for n := range p.next.Segments {
+		s := &p.next.Segments[n]
+		if s.Owner == "" {
+			free = append(free, s)
+			continue
+		}
+		if !s.Moving {
+			continue
+		}
+		if owner, ok := p.Servers[s.Owner]; ok && owner.Life != s.Life {
+			// The process that held the keys has ended, and all that it held with it.
+			s.Handover = ""
+			free = append(free, s)
+		} else if done, handover := p.Released(*s); done {
+			s.Handover = handover
+			free = append(free, s)
+		}
+	}
+	sort.SliceStable(free, func(a, b int) bool { return p.weight(free[a].Range) > p.weight(free[b].Range) })
+	for _, s := range free {
+		p.give(s, p.leastLoaded(s.Range))
+	}
+}
+
+// minimalRate makes keys without requests spread evenly too, in requests a second per
+// key.
+const minimalRate = 1e-4
+
+func (p *plan) weight(r identifier.Range) float64 {
+	return p.Heat.Rate(r) + minimalRate*float64(r.Len())
+}
+
+func (p *plan) give(s *Segment, to identifier.BackendServer) {
+	server := p.Servers[to]
+	s.Owner, s.Life, s.Zone = to, server.Life, server.Zone
+	s.Epoch = p.next.NextEpoch
+	s.Moving = false
+	p.next.NextEpoch++
+	p.load[to] += p.weight(s.Range)
+	p.changed = true
+}
+
+// leastLoaded returns the usable server that is used least once it has the range.
+func (p *plan) leastLoaded(r identifier.Range) (best identifier.BackendServer) {
+	weight := p.weight(r)
+	lowest := 0.0
+	for id, load := range p.load {
+		used := (load + weight) / p.Servers[id].Capacity
+		if best == "" || used < lowest || used == lowest && id < best {
+			best, lowest = id, used
+		}
+	}
+	return best
+}
+
+// merged joins neighbours that differ in nothing but their range.
+func merged(segments []Segment) []Segment {
+	out := segments[:0:0]
+	for _, s := range segments {
+		if n := len(out); n > 0 {
+			joined := out[n-1]
+			joined.Range.To = s.Range.To
+			same := s
+			same.Range = joined.Range
+			if joined == same {
+				out[n-1] = joined
+				continue
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/allocator/balance.go
@@ -0,0 +1,150 @@
+package allocator
+
+import (
+	"sort"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+const (
+	// mostMoving bounds the segments on the move for balance: each waits some tenths of a
+	// second.
+	mostMoving = 8
+	// overMean is the use of a server, as a multiple of the mean, from which it gives
+	// keys away. Differences below are within what a second's requests show by chance.
+	overMean = 1.3
+	// leastUse is the use from which a server gives keys away: below, its requests do not
+	// wait.
+	leastUse = 0.4
+)
+
+// balance marks hot segments of the servers that are used most, cut to what their
+// next owners can take.
+func (p *plan) balance() {
+	moving := 0
+	for _, s := range p.next.Segments {
+		if s.Moving {
+			moving++
+		}
+	}
+	for ; moving < mostMoving; moving++ {
+		if !p.moveOne() {
+			return
+		}
+	}
+}
+
+// moveOne marks one segment and reports whether it has.
+func (p *plan) moveOne() bool {
+	servers, mean := p.byUse()
+	if len(servers) < 2 {
+		return false
+	}
+	high, low := servers[len(servers)-1], servers[0]
+	if p.empty(low) {
+		return p.mark(p.fullest(), low, mean)
+	}
+	if p.use(high) < max(overMean*mean, leastUse) {
+		return false
+	}
+	return p.mark(high, low, mean)
+}
+
+func (p *plan) use(id identifier.BackendServer) float64 { return p.load[id] / p.Servers[id].Capacity }
+
+// empty reports whether a server that can take work has no keys, and none is on its
+// way.
+func (p *plan) empty(id identifier.BackendServer) bool {
+	if p.load[id] > 0 {
+		return false
+	}
+	for _, s := range p.next.Segments {
+		if s.Owner == id || s.Moving {
+			return false
+		}
+	}
+	return true
+}
+
+// fullest returns the server with the most load per capacity, or keys if there is no load.
+func (p *plan) fullest() (best identifier.BackendServer) {
+	weights := map[identifier.BackendServer]float64{}
+	for _, s := range p.next.Segments {
+		if !s.Moving {
+			weights[s.Owner] += p.weight(s.Range)
+		}
+	}
+	for id := range p.load {
+		w := weights[id] / p.Servers[id].Capacity
+		if best == "" || w > weights[best]/p.Servers[best].Capacity || w == weights[best]/p.Servers[best].Capacity && id < best {
+			best = id
+		}
+	}
+	return best
+}
+
+func (p *plan) byUse() (servers []identifier.BackendServer, mean float64) {
+	load, capacity := 0.0, 0.0
+	for id := range p.load {
+		servers = append(servers, id)
+		load += p.load[id]
+		capacity += p.Servers[id].Capacity
+	}
+	sort.Slice(servers, func(a, b int) bool {
+		ua, ub := p.use(servers[a]), p.use(servers[b])
+		return ua < ub || ua == ub && servers[a] < servers[b]
+	})
+	return servers, load / max(capacity, 1e-9)
+}
+
+// mark marks keys of one server whose load brings both servers towards the mean.
+func (p *plan) mark(from, to identifier.BackendServer, mean float64) bool {
+	spare := max(mean, p.use(from)/2)*p.Servers[to].Capacity - p.load[to]
+	excess := p.load[from] - mean*p.Servers[from].Capacity
+	amount := min(spare, max(excess, p.load[from]/4))
+	best := -1
+	for n, s := range p.next.Segments {
+		if s.Owner == from && !s.Moving && !p.Servers[from].Unsteady && (best < 0 || p.weight(s.Range) > p.weight(p.next.Segments[best].Range)) {
+			best = n
+		}
+	}
+	if best < 0 || amount <= 0 {
+		return false
+	}
+	cut := p.cut(p.next.Segments[best].Range, amount)
+	if p.Heat.Rate(cut) > 2*amount {
+		return false // One key alone: it would only move the trouble.
+	}
+	p.load[from] -= p.weight(cut)
+	p.load[to] += p.weight(cut)
+	p.carve(best, cut)
+	p.changed = true
+	return true
+}
+
+// cut returns the end of a range, upper or lower, that holds about amount requests a
+// second, at least one key.
+func (p *plan) cut(r identifier.Range, amount float64) identifier.Range {
+	if p.weight(r) <= 1.2*amount {
+		return r
+	}
+	n := sort.Search(r.Len()-1, func(n int) bool {
+		return p.weight(identifier.Range{From: r.From, To: r.From + identifier.Point(n)}) >= amount
+	})
+	return identifier.Range{From: r.From, To: r.From + identifier.Point(n)}
+}
+
+// carve splits segment n so that the keys of cut, its lower part, are on the move.
+func (p *plan) carve(n int, cut identifier.Range) {
+	s := p.next.Segments[n]
+	head, tail := s, s
+	head.Range, head.Moving = cut, true
+	parts := []Segment{head}
+	if cut.To < s.Range.To {
+		tail.Range.From = cut.To + 1
+		parts = append(parts, tail)
+	}
+	segments := append([]Segment(nil), p.next.Segments[:n]...)
+	segments = append(segments, parts...)
+	p.next.Segments = append(segments, p.next.Segments[n+1:]...)
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -38,6 +38,7 @@
 // commands is the table of the daemon's commands.
 var commands = []command{
 	{"serve", "Run one entry instance.", setUpServe},
+	{"entry", "Run one entry instance on the platform that the settings file describes.", setUpEntry},
 	{"dev", "Run several entry instances, a platform and backend servers on loopback, in one process.", setUpDev},
 	{"standin platform", "Run the platform stand-in.", setUpStandinPlatform},
 	{"standin backend", "Run a backend server stand-in.", setUpStandinBackend},
--- /dev/null
+++ b/conductor/view.go
@@ -0,0 +1,429 @@
+package conductor
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/director"
+	"github.com/turmericlift/turmericlift/exchanger"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/leaser"
+	"github.com/turmericlift/turmericlift/limiter"
+	"github.com/turmericlift/turmericlift/registrar"
+	"github.com/turmericlift/turmericlift/scheduler"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// Names of the system's own objects.
+const (
+	allocationPrefix = "allocation."
+	rosterPrefix     = "roster."
+	memberPrefix     = "member."
+)
+
+// view is what the mirrors say, decoded.
+type view struct {
+	table       *director.Table
+	configAt    identifier.Version
+	entries     map[identifier.BackendServer]registrar.Entry
+	seen        map[identifier.BackendServer]seenEntry
+	removed     map[identifier.BackendServer]time.Time // Entries that may come back: until when they hold.
+	evacuated   map[identifier.Zone]bool
+	coldTill    map[identifier.Zone]time.Time // Of zones that came back from an evacuation.
+	allocations map[identifier.Service]*allocator.Allocation
+	rosters     map[identifier.Zone]leaser.Roster
+	segments    map[segmentKey]*segmentState
+	heat        map[identifier.Service]*allocator.Heat
+	ownAsked    time.Time // When the newest list of the system's own objects was asked for.
+	badEntries  map[string]identifier.Version
+	storeDownAt time.Time // Start of the present outage; zero while the platform answers.
+	storeUpAt   time.Time // End of the last outage.
+}
+
+// seenEntry dates an entry's cold time.
+type seenEntry struct {
+	version  identifier.Version
+	life     registrar.Life
+	coldTill time.Time
+}
+
+type segmentKey struct {
+	service identifier.Service
+	rng     identifier.Range
+	epoch   identifier.Epoch
+}
+
+// segmentState is what this instance knows of a segment beyond the allocation.
+type segmentState struct {
+	seenAt       time.Time
+	movingAt     time.Time
+	misdirected  time.Time // Until when the owner is taken not to have the keys.
+	servedLogged bool
+}
+
+func newView() view {
+	return view{
+		entries: map[identifier.BackendServer]registrar.Entry{}, seen: map[identifier.BackendServer]seenEntry{},
+		removed: map[identifier.BackendServer]time.Time{}, evacuated: map[identifier.Zone]bool{},
+		coldTill: map[identifier.Zone]time.Time{}, allocations: map[identifier.Service]*allocator.Allocation{},
+		rosters: map[identifier.Zone]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
+		heat:       map[identifier.Service]*allocator.Heat{},
+		badEntries: map[string]identifier.Version{},
+	}
+}
+
+const (
+	// returnTime is how long an entry that lapsed while the store was away may take to come
+	// back: the platform's pages say about 2 s.
+	returnTime = 1800 * time.Millisecond
+	// outageAfter is the time without an answer that counts as an outage of the store.
+	outageAfter = 600 * time.Millisecond
+	// coldReserve is added to the cold time that an entry states, for its way to here.
+	coldReserve = 300 * time.Millisecond
+)
+
+// changed takes in that a mirror's copy has changed.
+func (c *Conductor) changed(kind storer.ObjectKind) {
+	copied, asked := c.mirrors[kind].Copy()
+	now := c.clock()
+	c.mu.Lock()
+	switch kind {
+	case c.kinds.Config:
+		c.readConfig(copied.Objects)
+	case c.kinds.Servers:
+		c.readServers(now, copied.Objects)
+	case c.kinds.Evacuations:
+		c.readEvacuations(now, copied.Objects)
+	case c.kinds.Own:
+		c.readOwn(now, copied.Objects, asked)
+	}
+	c.refresh(now)
+	c.scheduler.Tick(now)
+	c.mu.Unlock()
+	kick(c.planKick)
+	kick(c.grantKick)
+}
+
+func (c *Conductor) readConfig(objects []storer.Object) {
+	for _, o := range objects {
+		if o.Name != c.kinds.ConfigObject || o.Version <= c.view.configAt {
+			continue
+		}
+		table, err := c.codec.Table(o.Data)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("configuration does not decode, the one before stays in force")
+			continue
+		}
+		if c.view.table != nil && table.Version < c.view.table.Version {
+			c.log.WithFields(logrus.Fields{"ConfigVersion": table.Version, "Present": c.view.table.Version}).Warning("older configuration is not applied")
+			continue
+		}
+		c.view.table, c.view.configAt = table, o.Version
+		c.log.WithFields(logrus.Fields{"ConfigVersion": table.Version, "Version": o.Version}).Info("configuration in force")
+	}
+}
+
+func (c *Conductor) readServers(now time.Time, objects []storer.Object) {
+	entries := make(map[identifier.BackendServer]registrar.Entry, len(objects))
+	for _, o := range objects {
+		e, err := c.codec.Entry(o)
+		if err != nil {
+			if c.view.badEntries[o.Name] != o.Version {
+				c.view.badEntries[o.Name] = o.Version
+				c.log.WithFields(logrus.Fields{"Entry": o.Name, "Version": o.Version, "Error": err}).Warning("entry names no backend server")
+			}
+			continue
+		}
+		entries[e.ID] = e
+		delete(c.view.removed, e.ID)
+		if s := c.view.seen[e.ID]; s.version != e.Version {
+			coldTill := s.coldTill
+			if s.life != e.Life {
+				coldTill = time.Time{}
+			}
+			if e.ColdLeft > 0 {
+				coldTill = now.Add(e.ColdLeft + coldReserve)
+			}
+			c.view.seen[e.ID] = seenEntry{e.Version, e.Life, coldTill}
+			c.log.WithFields(logrus.Fields{"Server": e.ID, "Life": e.Life, "Service": e.Service, "Zone": e.Zone,
+				"Draining": e.State == registrar.Draining, "ColdMs": e.ColdLeft.Milliseconds(), "Version": e.Version}).Info("backend server")
+		}
+	}
+	for id, e := range c.view.entries {
+		if _, ok := entries[id]; ok {
+			continue
+		}
+		till, kept := c.view.removed[id]
+		if !kept && (now.Sub(c.view.storeUpAt) < returnTime || !c.view.storeDownAt.IsZero()) {
+			till, kept = c.view.storeUpAt.Add(returnTime), true
+			if !c.view.storeDownAt.IsZero() {
+				till = now.Add(returnTime)
+			}
+			c.view.removed[id] = till
+		}
+		if kept && now.Before(till) {
+			entries[id] = e
+			continue
+		}
+		delete(c.view.removed, id)
+		delete(c.view.seen, id)
+		c.log.WithFields(logrus.Fields{"Server": id, "Life": e.Life, "EntryVersion": e.Version}).Info("backend server is gone")
+	}
+	c.view.entries = entries
+}
+
+func (c *Conductor) readEvacuations(now time.Time, objects []storer.Object) {
+	evacuated := map[identifier.Zone]bool{}
+	for _, o := range objects {
+		zone := identifier.Zone(o.Name)
+		evacuated[zone] = true
+		if !c.view.evacuated[zone] {
+			c.log.WithFields(logrus.Fields{"Zone": zone, "Version": o.Version}).Info("zone is taken out")
+		}
+	}
+	for zone := range c.view.evacuated {
+		if !evacuated[zone] {
+			c.view.coldTill[zone] = now
+			c.log.WithField("Zone", zone).Info("zone is taken back")
+		}
+	}
+	c.view.evacuated = evacuated
+}
+
+func (c *Conductor) readOwn(now time.Time, objects []storer.Object, asked time.Time) {
+	if asked.After(c.view.ownAsked) {
+		c.view.ownAsked = asked
+	}
+	var members []string
+	for _, o := range objects {
+		switch {
+		case strings.HasPrefix(o.Name, allocationPrefix):
+			c.readAllocation(now, o)
+		case strings.HasPrefix(o.Name, rosterPrefix):
+			r, err := leaser.DecodeRoster(o.Data, o.Version)
+			if err != nil {
+				c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Error("roster does not decode")
+				continue
+			}
+			c.readRoster(now, r)
+		case strings.HasPrefix(o.Name, memberPrefix):
+			if m, err := decodeMember(o.Data); err == nil {
+				members = append(members, m.Address)
+			}
+		}
+	}
+	sort.Strings(members)
+	c.gossip.ReplaceHints(append(members, c.settings.Seeds...))
+}
+
+func (c *Conductor) readAllocation(now time.Time, o storer.Object) {
+	a, err := allocator.Decode(o.Data, o.Version)
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Error("allocation does not decode")
+		return
+	}
+	if old := c.view.allocations[a.Service]; old != nil && old.Version >= a.Version {
+		return
+	}
+	c.view.allocations[a.Service] = a
+	known := map[segmentKey]bool{}
+	moving := 0
+	for _, s := range a.Segments {
+		key := segmentKey{a.Service, s.Range, s.Epoch}
+		known[key] = true
+		st, ok := c.view.segments[key]
+		if !ok {
+			st = &segmentState{seenAt: now}
+			if part := c.partOf(a.Service, s); part != nil {
+				st.seenAt = part.seenAt
+			}
+			c.view.segments[key] = st
+		}
+		if s.Moving {
+			moving++
+			if st.movingAt.IsZero() {
+				st.movingAt = now
+			}
+		}
+	}
+	for key := range c.view.segments {
+		if key.service == a.Service && !known[key] {
+			delete(c.view.segments, key)
+		}
+	}
+	c.log.WithFields(logrus.Fields{"Service": a.Service, "Version": a.Version, "Segments": len(a.Segments),
+		"Moving": moving, "NextEpoch": a.NextEpoch}).Info("allocation")
+}
+
+// partOf returns the state of the segment that a new one was cut from.
+func (c *Conductor) partOf(service identifier.Service, s allocator.Segment) *segmentState {
+	for key, st := range c.view.segments {
+		if key.service == service && key.epoch == s.Epoch && key.rng.Overlaps(s.Range) {
+			return st
+		}
+	}
+	return nil
+}
+
+func (c *Conductor) readRoster(now time.Time, r leaser.Roster) {
+	if old, ok := c.view.rosters[r.Zone]; ok && old.Version >= r.Version {
+		return
+	}
+	c.view.rosters[r.Zone] = r
+	for _, h := range r.Holders {
+		key := holderKey{r.Zone, h.Instance, h.Incarnation}
+		if _, ok := c.fencedAt[key]; h.Fenced && !ok {
+			c.fencedAt[key] = now
+		} else if !h.Fenced {
+			delete(c.fencedAt, key)
+		}
+	}
+	if h, ok := r.Find(c.settings.Instance, c.settings.Incarnation); !ok || h.Fenced {
+		delete(c.joined, r.Zone)
+	}
+	c.log.WithFields(logrus.Fields{"Zone": r.Zone, "Version": r.Version, "Holders": r.Holders}).Info("roster")
+}
+
+// coldUntil returns until when a backend server counts as cold.
+func (c *Conductor) coldUntil(e registrar.Entry) time.Time {
+	till := c.view.seen[e.ID].coldTill
+	if since, ok := c.view.coldTill[e.Zone]; ok && c.view.table != nil {
+		if back := since.Add(c.view.table.Services[e.Service].ColdFor + coldReserve); back.After(till) {
+			till = back
+		}
+	}
+	return till
+}
+
+// refresh passes the view on to what decides from it.
+func (c *Conductor) refresh(now time.Time) {
+	count := c.gossip.Count(now)
+	c.scheduler.SetInstances(count)
+	if c.view.table == nil {
+		return
+	}
+	candidates := make([]scheduler.Candidate, 0, len(c.view.entries))
+	for _, e := range c.view.entries {
+		s := c.view.table.Services[e.Service]
+		candidates = append(candidates, scheduler.Candidate{
+			Entry: e, Excluded: c.view.evacuated[e.Zone], ColdTill: c.coldUntil(e),
+			ColdRate: (s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
+		})
+		limit := max(s.MaxConnections/count, 1)
+		key := poolKey{e.ID, e.Life, e.Address}
+		if p, ok := c.pools[key]; ok {
+			p.SetLimit(limit)
+			continue
+		}
+		c.pools[key] = exchanger.NewPool(e.Address, limit, c.clock)
+		c.orders[key] = exchanger.NewPool(e.Address, orderConnections, c.clock)
+	}
+	for key, p := range c.pools {
+		if e, ok := c.view.entries[key.id]; !ok || e.Life != key.life || e.Address != key.address {
+			p.Close()
+			delete(c.pools, key)
+			if !ok {
+				continue // Its keys may have to be released.
+			}
+			c.orders[key].Close()
+			delete(c.orders, key)
+		}
+	}
+	c.scheduler.SetServers(candidates)
+	for name := range c.view.table.Services {
+		if _, ok := c.repeats[name]; !ok {
+			c.repeats[name] = limiter.NewRepeats(c.settings.RetryWindow, c.settings.RetryRatio, c.settings.RetryExtra)
+		}
+	}
+}
+
+const (
+	// coldShare is the part of a cold server's bound that is used: its window slides, and
+	// requests take differently long to arrive.
+	coldShare = 0.8
+	// orderConnections bounds the connections for orders to one server.
+	orderConnections = 6
+)
+
+// Owner implements scheduler.Owners. The caller holds the lock.
+func (c *Conductor) Owner(now time.Time, service identifier.Service, key identifier.Point) scheduler.Ownership {
+	a := c.view.allocations[service]
+	if a == nil {
+		return scheduler.Ownership{}
+	}
+	s := a.Find(key)
+	st := c.view.segments[segmentKey{service, s.Range, s.Epoch}]
+	own := scheduler.Ownership{Server: s.Owner, Life: s.Life}
+	switch {
+	case s.Owner == "" || st == nil:
+	case s.Moving:
+		own.ReadyAt = st.movingAt.Add(moveTime)
+		if now.After(own.ReadyAt.Add(moveTime)) {
+			own.ReadyAt = time.Time{} // It takes longer than work takes to end: a grant has to lapse.
+		}
+	case now.Before(st.misdirected):
+		own.ReadyAt = st.misdirected
+	case now.Before(st.seenAt.Add(grantTime)):
+		own.ReadyAt = st.seenAt.Add(grantTime)
+	default:
+		own.Ready = true
+	}
+	return own
+}
+
+const (
+	// moveTime is about the time that a move takes: the work that runs on the keys ends.
+	moveTime = 300 * time.Millisecond
+	// grantTime is about the time from an allocation's arrival here to the grant's arrival
+	// at the owner.
+	grantTime = 20 * time.Millisecond
+	// misdirectedTime is the time in which an owner that refused a key is not asked again
+	// for keys of the segment.
+	misdirectedTime = 100 * time.Millisecond
+)
+
+// storeEnded takes in the end of a call to the platform's store.
+func (c *Conductor) storeEnded(kind storer.ObjectKind, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.storeWorked(c.clock())
+		return
+	}
+	if c.view.storeDownAt.IsZero() {
+		c.view.storeDownAt = c.clock()
+		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store does not answer")
+	}
+}
+
+// storeWorked logs the end of an outage.
+func (c *Conductor) storeWorked(now time.Time) {
+	if c.view.storeDownAt.IsZero() {
+		return
+	}
+	if lasted := now.Sub(c.view.storeDownAt); lasted >= outageAfter {
+		c.view.storeUpAt = now
+		c.log.WithField("Ms", lasted.Milliseconds()).Info("platform's store answers again")
+	}
+	c.view.storeDownAt = time.Time{}
+}
+
+const (
+	// storeRetry is the pause after a call to the store that failed.
+	storeRetry = 100 * time.Millisecond
+	// storeRetryMost bounds the pause: the store's return is noticed that late at most.
+	storeRetryMost = 400 * time.Millisecond
+)
+
+func (c *Conductor) storePause(ctx context.Context, failures int) {
+	pause := min(storeRetry<<min(failures, 4), storeRetryMost)
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,462 @@
+// Package forwarder takes callers' requests over HTTP and gives each its answer: the
+// whole answer of a backend server, or a refusal that says whether the request may
+// have run.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/director"
+	"github.com/turmericlift/turmericlift/exchanger"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
+	"github.com/turmericlift/turmericlift/scheduler"
+)
+
+// Names are the headers of requests and answers on one platform.
+type Names struct {
+	RequestID, TimeLeft, ExpectServer, NotExecuted, Seal, Load, Key string
+}
+
+// Core decides where requests go. Its methods are called concurrently.
+type Core interface {
+	Table() *director.Table
+	// Split returns the service of a route's next request.
+	Split(r *director.Route) identifier.Service
+	// Admit waits for a decision. It returns false if ctx ends first.
+	Admit(ctx context.Context, t *scheduler.Ticket) (scheduler.Decision, bool)
+	Exchange(ctx context.Context, e registrar.Entry, r *exchanger.Request) (exchanger.Answer, error)
+	// Finished takes in how a request ended at a backend server.
+	Finished(e registrar.Entry, r scheduler.Report)
+	// Misdirected takes in that a backend server does not own a key.
+	Misdirected(e registrar.Entry, service identifier.Service, key identifier.Point)
+	// MayRepeat reports whether another request to the service is within the bound of
+	// repeats, and counts it.
+	MayRepeat(service identifier.Service) bool
+	Quarantined(f answerer.Fingerprint) bool
+	// Broke takes in that a connection broke while a request ran; Completed that one ran to
+	// its end.
+	Broke(e registrar.Entry, f answerer.Fingerprint)
+	Completed(f answerer.Fingerprint)
+	// Observe counts a finished request.
+	Observe(o Observation)
+}
+
+// Observation is what is counted of a finished request.
+type Observation struct {
+	Route   string
+	Code    answerer.Code
+	Status  int
+	Latency time.Duration
+	Sends   int
+}
+
+// Forwarder is the handler of callers' requests.
+type Forwarder struct {
+	names Names
+	core  Core
+	clock func() time.Time
+	log   *logrus.Entry
+
+	mu      sync.Mutex
+	longest map[string]time.Duration // By route: the longest time that callers have given.
+}
+
+// New returns a Forwarder.
+func New(names Names, core Core, clock func() time.Time, log *logrus.Entry) *Forwarder {
+	return &Forwarder{names: names, core: core, clock: clock, log: log, longest: map[string]time.Duration{}}
+}
+
+const (
+	// answerReserve is kept back from a caller's time for the way of the answer.
+	answerReserve = 15 * time.Millisecond
+	// returnedShare is the part of the longest time that callers give below which a
+	// request is one that was refused before.
+	returnedShare = 0.93
+	// quarantineRetry is the Retry-After of requests that crash backend servers.
+	quarantineRetry = 30 * time.Second
+	// unknownRetry is the Retry-After while no configuration is known.
+	unknownRetry = 500 * time.Millisecond
+)
+
+// flight is one request on its way.
+type flight struct {
+	route       *director.Route
+	service     identifier.Service
+	id          string
+	header      http.Header
+	method      string
+	target      string
+	host        string
+	body        []byte
+	keyed       bool
+	key         identifier.Point
+	arrived     time.Time
+	deadline    time.Time
+	returned    bool
+	fingerprint answerer.Fingerprint
+	sends       int
+	mayHaveRun  bool
+	sent        map[identifier.BackendServer]bool
+	version     uint64
+	server      identifier.BackendServer
+}
+
+// result is the end of a request.
+type result struct {
+	code       answerer.Code
+	status     int
+	answer     *exchanger.Answer // Of a backend server.
+	retryAfter time.Duration
+	detail     string
+}
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.clock()
+	fl, res := f.parse(arrived, w, r)
+	if res == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), fl.deadline.Sub(f.clock()))
+		res = f.serve(ctx, r.Context(), fl)
+		cancel()
+	}
+	f.write(w, res)
+	f.record(fl, res)
+}
+
+// parse reads the request; the result is nil if it can be served.
+func (f *Forwarder) parse(arrived time.Time, w http.ResponseWriter, r *http.Request) (*flight, *result) {
+	fl := &flight{
+		id: r.Header.Get(f.names.RequestID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
+		arrived: arrived, sent: map[identifier.BackendServer]bool{},
+	}
+	if strings.HasPrefix(r.RequestURI, "/") {
+		fl.target = r.RequestURI // As the caller spelled it.
+	}
+	table := f.core.Table()
+	if table == nil {
+		return fl, &result{code: answerer.CodePlatformDown, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "no configuration is known yet"}
+	}
+	fl.version = table.Version
+	fl.route = table.Match(r.Host, r.URL.Path)
+	if fl.route == nil {
+		return fl, &result{code: answerer.CodeUnknownService, status: http.StatusNotFound, detail: "no route matches host and path"}
+	}
+	left, res := f.timeLeft(fl.route, r)
+	if res != nil {
+		return fl, res
+	}
+	fl.deadline = arrived.Add(left)
+	fl.returned = f.hasReturned(fl.route.Name, left)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(table.Limits.MaxBodyBytes, 1)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fl, &result{code: answerer.CodeBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "the body is over the limit"}
+	case err != nil:
+		return fl, &result{code: answerer.CodeBadRequest, status: http.StatusBadRequest, detail: "the body is cut"}
+	}
+	fl.body = body
+	fl.header = f.forwardable(r.Header)
+	fl.service = f.core.Split(fl.route)
+	if res := f.parseKey(fl, table, r); res != nil {
+		return fl, res
+	}
+	fl.fingerprint = answerer.Request{
+		Service: identifier.ServiceName{Organisation: identifier.Organisation(r.Host)},
+		Key:     identifier.Key(r.Header.Get(f.names.Key)), Method: r.Method, Path: fl.target, Body: body,
+	}.Fingerprint()
+	if f.core.Quarantined(fl.fingerprint) {
+		return fl, &result{code: answerer.CodeQuarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineRetry,
+			detail: "requests like this one have crashed backend servers"}
+	}
+	return fl, nil
+}
+
+func (f *Forwarder) parseKey(fl *flight, table *director.Table, r *http.Request) *result {
+	fl.keyed = table.Services[fl.service].Keyed
+	if !fl.keyed {
+		return nil
+	}
+	value := r.Header.Get(f.names.Key)
+	n, err := strconv.ParseUint(value, 10, 16)
+	if err != nil {
+		return &result{code: answerer.CodeBadKey, status: http.StatusBadRequest, detail: f.names.Key + " " + strconv.Quote(value) + " is not a key"}
+	}
+	fl.key = identifier.Point(n)
+	return nil
+}
+
+// timeLeft returns how long the caller waits and the operator lets it wait.
+func (f *Forwarder) timeLeft(route *director.Route, r *http.Request) (time.Duration, *result) {
+	left := route.Timeout
+	if value := r.Header.Get(f.names.TimeLeft); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 32)
+		if err != nil {
+			return 0, &result{code: answerer.CodeBadDeadline, status: http.StatusBadRequest, detail: f.names.TimeLeft + " " + strconv.Quote(value) + " is not a number of milliseconds"}
+		}
+		given := time.Duration(ms)*time.Millisecond - answerReserve
+		if left <= 0 || given < left {
+			left = given
+		}
+	}
+	if left <= 0 {
+		return 0, &result{code: answerer.CodeExpired, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "no time is left"}
+	}
+	return left, nil
+}
+
+// hasReturned reports whether a caller has less time than others at their first try.
+func (f *Forwarder) hasReturned(route string, left time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if left > f.longest[route] {
+		f.longest[route] = left
+	}
+	return float64(left) < returnedShare*float64(f.longest[route])
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Authenticate", "Proxy-Authorization", "Content-Length", "Host", "Expect",
+}
+
+func (f *Forwarder) forwardable(h http.Header) http.Header {
+	out := h.Clone()
+	for _, field := range h.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	out.Del(f.names.ExpectServer)
+	out.Del(f.names.TimeLeft)
+	return out
+}
+
+// serve sends the request until it has an answer that counts, or may not be sent again.
+func (f *Forwarder) serve(ctx, caller context.Context, fl *flight) *result {
+	for {
+		d, ok := f.core.Admit(ctx, fl.ticket())
+		if !ok {
+			return f.givenUp(caller, fl, false)
+		}
+		if d.Reason != scheduler.None {
+			return f.refused(fl, d)
+		}
+		if fl.sends > 0 && !f.core.MayRepeat(fl.service) {
+			f.core.Finished(d.Server, scheduler.Report{Outcome: scheduler.Cancelled})
+			return &result{code: answerer.CodeQueueFull, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "too many repeats"}
+		}
+		if res := f.attempt(ctx, caller, fl, d.Server); res != nil {
+			return res
+		}
+	}
+}
+
+func (fl *flight) ticket() *scheduler.Ticket {
+	return &scheduler.Ticket{
+		Service: fl.service, Keyed: fl.keyed, Key: fl.key, Rank: fl.route.Rank, Returned: fl.returned,
+		Arrived: fl.arrived, Target: fl.arrived.Add(fl.route.Target), Deadline: fl.deadline,
+		Tried: fl.tried(), Decided: make(chan scheduler.Decision, 1),
+	}
+}
+
+// tried returns the servers that the request must not reach again: a keyed one has only
+// its owner to go to.
+func (fl *flight) tried() map[identifier.BackendServer]bool {
+	if fl.keyed {
+		return nil
+	}
+	return fl.sent
+}
+
+// attempt sends the request to one backend server. It returns nil if the request has
+// not run there and may be sent again.
+func (f *Forwarder) attempt(ctx, caller context.Context, fl *flight, e registrar.Entry) *result {
+	started := f.clock()
+	fl.server = e.ID
+	answer, err := f.core.Exchange(ctx, e, f.request(fl, e, started))
+	report := scheduler.Report{Latency: f.clock().Sub(started)}
+	var unsent *exchanger.UnsentError
+	switch {
+	case err == nil:
+		fl.sends++
+		f.readLoad(answer.Header, &report)
+		return f.judge(fl, e, answer, report)
+	case errors.As(err, &unsent):
+		report.Outcome = scheduler.Unreachable
+		if ctx.Err() != nil {
+			report.Outcome = scheduler.Cancelled
+		}
+		f.core.Finished(e, report)
+		f.log.WithFields(logrus.Fields{"ID": fl.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Info("not sent")
+		if ctx.Err() != nil {
+			return f.givenUp(caller, fl, false)
+		}
+		if !fl.keyed {
+			fl.sent[e.ID] = true
+		}
+		return nil
+	case ctx.Err() != nil:
+		report.Outcome = scheduler.Cancelled
+		f.core.Finished(e, report)
+		return f.givenUp(caller, fl, true)
+	}
+	fl.sends++
+	report.Outcome = scheduler.Broken
+	f.core.Finished(e, report)
+	f.core.Broke(e, fl.fingerprint)
+	f.log.WithFields(logrus.Fields{"ID": fl.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Info("connection broke")
+	return f.again(fl, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the connection broke after the request was sent"})
+}
+
+// again decides whether a request that may have run is sent once more; if so it
+// returns nil.
+func (f *Forwarder) again(fl *flight, e registrar.Entry, otherwise *result) *result {
+	fl.sent[e.ID] = true
+	fl.mayHaveRun = true
+	if !fl.route.Idempotent || fl.sends >= fl.route.MaxAttempts {
+		return otherwise
+	}
+	return nil
+}
+
+// judge decides what an answer is worth.
+func (f *Forwarder) judge(fl *flight, e registrar.Entry, a exchanger.Answer, report scheduler.Report) *result {
+	notRun := a.Header.Get(f.names.NotExecuted) != "" || a.Status == http.StatusMisdirectedRequest
+	if !notRun {
+		report.Outcome = scheduler.Answered
+		f.core.Finished(e, report)
+		if a.Header.Get("Content-Encoding") != "" || a.Status < 300 && a.Header.Get(f.names.Seal) == "" {
+			return f.again(fl, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer is not the backend server's"})
+		}
+		f.core.Completed(fl.fingerprint)
+		return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
+	}
+	report.Outcome = scheduler.Shed
+	if a.Status == http.StatusMisdirectedRequest && fl.keyed {
+		report.Outcome = scheduler.Cancelled // The server itself is not at fault.
+		f.core.Misdirected(e, fl.service, fl.key)
+	}
+	f.core.Finished(e, report)
+	f.log.WithFields(logrus.Fields{"ID": fl.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status}).Info("not run by the backend server")
+	if a.Status == http.StatusBadRequest {
+		return &result{code: answerer.CodeBadRequest, status: http.StatusBadGateway, detail: "the backend server does not accept the request"}
+	}
+	if !fl.keyed {
+		fl.sent[e.ID] = true
+	}
+	if fl.sends >= max(fl.route.MaxAttempts, 1)+1 {
+		return &result{code: answerer.CodeShed, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "the backend server refused the request"}
+	}
+	return nil
+}
+
+// givenUp is the result of a request whose deadline passed or whose caller left.
+func (f *Forwarder) givenUp(caller context.Context, fl *flight, sent bool) *result {
+	switch {
+	case caller.Err() != nil:
+		return &result{code: answerer.CodeCancelled, status: http.StatusGatewayTimeout, detail: "the caller left"}
+	case sent || fl.mayHaveRun:
+		return &result{code: answerer.CodeTimedOut, status: http.StatusGatewayTimeout, detail: "the deadline passed while the request ran"}
+	default:
+		return &result{code: answerer.CodeExpired, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "the deadline passed before the request was sent"}
+	}
+}
+
+func (f *Forwarder) refused(fl *flight, d scheduler.Decision) *result {
+	res := &result{status: http.StatusServiceUnavailable, retryAfter: d.RetryAfter}
+	switch d.Reason {
+	case scheduler.NoOwner:
+		res.code, res.detail = answerer.CodeNoOwner, "nobody owns the key for now"
+	case scheduler.NoServer:
+		res.code, res.detail = answerer.CodeNoBackendServer, "no backend server can take the request"
+	case scheduler.NoRoom, scheduler.Expired, scheduler.None:
+		res.code, res.detail = answerer.CodeQueueFull, "there is no room before the deadline"
+	}
+	if fl.mayHaveRun {
+		res.status, res.retryAfter = http.StatusBadGateway, 0 // It may have run where it was sent first.
+	}
+	return res
+}
+
+func (f *Forwarder) request(fl *flight, e registrar.Entry, now time.Time) *exchanger.Request {
+	h := fl.header.Clone()
+	left := max(fl.deadline.Sub(now).Milliseconds(), 1)
+	h.Set(f.names.TimeLeft, strconv.FormatInt(left, 10))
+	h.Set(f.names.ExpectServer, string(e.ID))
+	return &exchanger.Request{
+		Method: fl.method, Target: fl.target, Host: fl.host, Header: h, Body: fl.body,
+		IDHeader: f.names.RequestID, ID: fl.id,
+	}
+}
+
+// readLoad reads the running and waiting requests and the slowness of the machine.
+func (f *Forwarder) readLoad(h http.Header, r *scheduler.Report) {
+	fields := strings.Split(h.Get(f.names.Load), ",")
+	if len(fields) < 3 {
+		return
+	}
+	running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
+	if err1 != nil || err2 != nil || running < 0 || waiting < 0 {
+		return
+	}
+	r.HasLoad, r.Running, r.Waiting = true, running, waiting
+	if len(fields) > 3 {
+		if percent, err := strconv.ParseFloat(strings.TrimSpace(fields[3]), 64); err == nil {
+			r.Slowness = percent / 100
+		}
+	}
+}
+
+func (f *Forwarder) write(w http.ResponseWriter, res *result) {
+	h := w.Header()
+	if res.answer != nil {
+		for name, values := range res.answer.Header {
+			h[name] = values
+		}
+		for _, name := range connectionHeaders {
+			h.Del(name)
+		}
+		h.Set("Content-Length", strconv.Itoa(len(res.answer.Body)))
+		w.WriteHeader(res.status)
+		_, _ = w.Write(res.answer.Body) // The caller has left: nothing is owed to it.
+		return
+	}
+	if res.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Result-Code", strconv.Itoa(int(res.code)))
+	w.WriteHeader(res.status)
+	_, _ = io.WriteString(w, res.code.String()+": "+res.detail+"\n")
+}
+
+func (f *Forwarder) record(fl *flight, res *result) {
+	latency := f.clock().Sub(fl.arrived)
+	route := ""
+	if fl.route != nil {
+		route = fl.route.Name
+	}
+	f.core.Observe(Observation{Route: route, Code: res.code, Status: res.status, Latency: latency, Sends: fl.sends})
+	f.log.WithFields(logrus.Fields{
+		"ID": fl.id, "Route": route, "Service": fl.service, "Key": fl.key, "ConfigVersion": fl.version, "Server": fl.server,
+		"Sends": fl.sends, "Status": res.status, "Code": int(res.code), "Ms": latency.Milliseconds(),
+		"LeftMs": fl.deadline.Sub(fl.arrived).Milliseconds(), "Returned": fl.returned,
+	}).Info("answered")
+}
--- /dev/null
+++ b/identifier/point.go
@@ -0,0 +1,29 @@
+package identifier
+
+import "fmt"
+
+// Point is a key of a service that is divided by numeric keys.
+type Point uint16
+
+// MaxPoint is the last key.
+const MaxPoint Point = 65535
+
+// Points is the number of keys.
+const Points = int(MaxPoint) + 1
+
+// Range is the keys from From to To, both included.
+type Range struct {
+	From, To Point
+}
+
+// Len returns the number of keys.
+func (r Range) Len() int { return int(r.To) - int(r.From) + 1 }
+
+// Contains reports whether a key is in the range.
+func (r Range) Contains(p Point) bool { return r.From <= p && p <= r.To }
+
+// Overlaps reports whether two ranges share a key.
+func (r Range) Overlaps(o Range) bool { return r.From <= o.To && o.From <= r.To }
+
+// String returns the range as "from-to".
+func (r Range) String() string { return fmt.Sprintf("%d-%d", r.From, r.To) }
--- /dev/null
+++ b/mirrorer/mirrorer.go
@@ -0,0 +1,210 @@
+// Package mirrorer keeps a copy of the platform's objects of one kind: a list, then
+// the changes that a watch brings. Copies of other instances can be taken in while
+// the platform turns this one away. An object never goes back to an older version.
+package mirrorer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// Platform is the part of the platform's client that a Mirror uses.
+type Platform interface {
+	List(ctx context.Context, kind storer.ObjectKind) (storer.Page, error)
+	Watch(ctx context.Context, kind storer.ObjectKind, from identifier.Version, wait time.Duration) (storer.Events, error)
+}
+
+// Copy is all objects of a kind at a revision.
+type Copy struct {
+	Kind     storer.ObjectKind
+	Revision identifier.Version
+	Objects  []storer.Object
+}
+
+// Mirror is the copy of one kind. It is safe for concurrent use.
+type Mirror struct {
+	kind     storer.ObjectKind
+	platform Platform
+	clock    func() time.Time
+	changed  func(storer.ObjectKind)
+	ended    func(storer.ObjectKind, error)
+	wait     func(ctx context.Context, failures int) // Before another try.
+
+	mu       sync.Mutex
+	objects  map[string]storer.Object
+	revision identifier.Version
+	asOf     time.Time // When the newest answer of the platform was asked for.
+	up       bool
+	done     chan error
+}
+
+// New returns a Mirror that holds nothing. changed is called after each change; ended
+// with the error of each call, nil if it worked; wait pauses after one that failed.
+func New(kind storer.ObjectKind, p Platform, clock func() time.Time, changed func(storer.ObjectKind),
+	ended func(storer.ObjectKind, error), wait func(context.Context, int)) *Mirror {
+	return &Mirror{
+		kind: kind, platform: p, clock: clock, changed: changed, ended: ended, wait: wait,
+		objects: map[string]storer.Object{}, done: make(chan error, 1),
+	}
+}
+
+// watchWait is the time that a watch waits: the connection itself tells sooner that the
+// platform is gone.
+const watchWait = 20 * time.Second
+
+// Done returns the channel on which Run reports its end.
+func (m *Mirror) Done() <-chan error { return m.done }
+
+// Run follows the platform until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := m.follow(ctx, func() {
+			failures = 0
+			m.ended(m.kind, nil)
+		})
+		if ctx.Err() != nil {
+			break
+		}
+		m.setUp(false)
+		if !errors.Is(err, storer.ErrHistoryGone) {
+			m.ended(m.kind, err)
+			m.wait(ctx, failures)
+			failures++
+		}
+	}
+	m.done <- ctx.Err()
+}
+
+func (m *Mirror) follow(ctx context.Context, worked func()) error {
+	asked := m.clock()
+	page, err := m.platform.List(ctx, m.kind)
+	if err != nil {
+		return err
+	}
+	worked()
+	m.Take(Copy{m.kind, page.Revision, page.Objects}, asked)
+	m.setUp(true)
+	from := page.Revision
+	for {
+		events, err := m.platform.Watch(ctx, m.kind, from, watchWait)
+		if err != nil {
+			return err
+		}
+		worked()
+		from = max(from, events.Revision)
+		m.apply(events)
+	}
+}
+
+func (m *Mirror) setUp(up bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.up = up
+}
+
+// Up reports whether the platform answered the newest call.
+func (m *Mirror) Up() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.up
+}
+
+// Take replaces the copy by a whole one that was asked for at a time, unless it is
+// older. It reports whether anything changed.
+func (m *Mirror) Take(c Copy, asked time.Time) bool {
+	m.mu.Lock()
+	if c.Revision < m.revision {
+		m.mu.Unlock()
+		return false
+	}
+	changed := m.revision == 0
+	objects := make(map[string]storer.Object, len(c.Objects))
+	for _, o := range c.Objects {
+		old, ok := m.objects[o.Name]
+		if ok && old.Version > o.Version {
+			o = old
+		}
+		changed = changed || !ok || old.Version != o.Version
+		objects[o.Name] = o
+	}
+	for name, o := range m.objects {
+		if _, ok := objects[name]; ok {
+			continue
+		}
+		if o.Version > c.Revision { // Newer than the list.
+			objects[name] = o
+			continue
+		}
+		changed = true
+	}
+	m.objects, m.revision = objects, c.Revision
+	if asked.After(m.asOf) {
+		m.asOf = asked
+	}
+	m.mu.Unlock()
+	if changed {
+		m.changed(m.kind)
+	}
+	return changed
+}
+
+func (m *Mirror) apply(e storer.Events) {
+	m.mu.Lock()
+	changed := false
+	for _, event := range e.Events {
+		o := event.Object
+		old, ok := m.objects[o.Name]
+		switch {
+		case event.Deleted && ok && o.Version >= old.Version:
+			delete(m.objects, o.Name)
+			changed = true
+		case !event.Deleted && o.Version > old.Version:
+			m.objects[o.Name] = o
+			changed = true
+		}
+	}
+	m.revision = max(m.revision, e.Revision)
+	m.mu.Unlock()
+	if changed {
+		m.changed(m.kind)
+	}
+}
+
+// Put takes in the new version of one object that this process wrote.
+func (m *Mirror) Put(o storer.Object) {
+	m.mu.Lock()
+	newer := o.Version > m.objects[o.Name].Version
+	if newer {
+		m.objects[o.Name] = o
+	}
+	m.mu.Unlock()
+	if newer {
+		m.changed(m.kind)
+	}
+}
+
+// Copy returns the objects, the revision of the newest answer and when that was asked
+// for at the earliest.
+func (m *Mirror) Copy() (Copy, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := Copy{Kind: m.kind, Revision: m.revision, Objects: make([]storer.Object, 0, len(m.objects))}
+	for _, o := range m.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c, m.asOf
+}
+
+// Get returns an object of the copy.
+func (m *Mirror) Get(name string) (storer.Object, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[name]
+	return o, ok
+}
--- /dev/null
+++ b/storer/kinds.go
@@ -0,0 +1,156 @@
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/turmericlift/turmericlift/identifier"
+)
+
+// ObjectKind names a collection of objects.
+type ObjectKind string
+
+// ErrHistoryGone: the platform no longer has the changes since the watched revision.
+var ErrHistoryGone = errors.New("platform dropped the watched history")
+
+// Event is one change of an object.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Page is a part of the list of a kind.
+type Page struct {
+	Objects  []Object
+	More     bool
+	Revision identifier.Version
+}
+
+// Events is what a watch of a kind returns.
+type Events struct {
+	Events   []Event
+	Revision identifier.Version
+}
+
+// Dialect is how one platform spells calls on objects that are grouped in kinds. It
+// builds calls and decodes answers, and decides nothing.
+type Dialect interface {
+	List(base *sling.Sling, kind ObjectKind, after string) *sling.Sling
+	Get(base *sling.Sling, kind ObjectKind, name string) *sling.Sling
+	Watch(base *sling.Sling, kind ObjectKind, from identifier.Version, wait time.Duration) *sling.Sling
+	// Put replaces the object at version expected, or creates it if expected is 0.
+	Put(base *sling.Sling, kind ObjectKind, name string, expected identifier.Version, data []byte) *sling.Sling
+	DecodePage(body []byte) (Page, error)
+	DecodeEvents(body []byte) (Events, error)
+	DecodeObject(body []byte) (Object, error)
+}
+
+// Kinds calls a platform whose objects are grouped in kinds. It is safe for
+// concurrent use.
+type Kinds struct {
+	client  *Client
+	dialect Dialect
+}
+
+// NewKinds returns a client that speaks dialect through client.
+func NewKinds(client *Client, dialect Dialect) *Kinds { return &Kinds{client, dialect} }
+
+// List returns all objects of a kind as of one revision or a later one.
+func (k *Kinds) List(ctx context.Context, kind ObjectKind) (Page, error) {
+	var all Page
+	after := ""
+	for {
+		body, err := k.call(ctx, k.dialect.List(k.client.base.New(), kind, after), k.client.timeout)
+		if err != nil {
+			return Page{}, fmt.Errorf("list %s: %w", kind, err)
+		}
+		page, err := k.dialect.DecodePage(body)
+		if err != nil {
+			return Page{}, fmt.Errorf("list %s: %w: %w", kind, ErrUnavailable, err)
+		}
+		all.Objects = append(all.Objects, page.Objects...)
+		if all.Revision == 0 {
+			all.Revision = page.Revision // A watch from the first page's revision misses nothing.
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return all, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+	}
+}
+
+// Get returns one object, or ErrNotFound.
+func (k *Kinds) Get(ctx context.Context, kind ObjectKind, name string) (Object, error) {
+	body, err := k.call(ctx, k.dialect.Get(k.client.base.New(), kind, name), k.client.timeout)
+	if err != nil {
+		return Object{}, fmt.Errorf("get %s/%s: %w", kind, name, err)
+	}
+	o, err := k.dialect.DecodeObject(body)
+	if err != nil {
+		return Object{}, fmt.Errorf("get %s/%s: %w: %w", kind, name, ErrUnavailable, err)
+	}
+	return o, nil
+}
+
+// Watch waits until an object of a kind changes after the revision from, or for wait.
+func (k *Kinds) Watch(ctx context.Context, kind ObjectKind, from identifier.Version, wait time.Duration) (Events, error) {
+	body, err := k.call(ctx, k.dialect.Watch(k.client.base.New(), kind, from, wait), wait+k.client.timeout)
+	if err != nil {
+		return Events{}, fmt.Errorf("watch %s from %d: %w", kind, from, err)
+	}
+	events, err := k.dialect.DecodeEvents(body)
+	if err != nil {
+		return Events{}, fmt.Errorf("watch %s from %d: %w: %w", kind, from, ErrUnavailable, err)
+	}
+	return events, nil
+}
+
+// Put writes an object if its version is the expected one (0: it does not exist) and
+// returns the new version. Its errors are those of Client.Write.
+func (k *Kinds) Put(ctx context.Context, kind ObjectKind, name string, expected identifier.Version, data []byte) (identifier.Version, error) {
+	if len(data) > MaxValueSize {
+		return 0, fmt.Errorf("write %s/%s: value has %d bytes, the limit is %d", kind, name, len(data), MaxValueSize)
+	}
+	call := k.dialect.Put(k.client.base.New(), kind, name, expected, data)
+	status, _, body, err := k.client.do(ctx, call, k.client.timeout)
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return 0, fmt.Errorf("write %s/%s: %w: %w", kind, name, ErrUnknown, err)
+	case err != nil:
+		return 0, fmt.Errorf("write %s/%s: %w", kind, name, err)
+	case status == http.StatusConflict, status == http.StatusNotFound:
+		present, _ := k.dialect.DecodeObject(body) // Version 0 if the answer holds no object.
+		return 0, &ConflictError{Name: string(kind) + "/" + name, Expected: expected, Present: present.Version}
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return 0, fmt.Errorf("write %s/%s: %w: status %d", kind, name, ErrUnavailable, status)
+	case status != http.StatusOK && status != http.StatusCreated:
+		return 0, fmt.Errorf("write %s/%s: %w: status %d", kind, name, ErrUnknown, status)
+	}
+	o, err := k.dialect.DecodeObject(body)
+	if err != nil {
+		return 0, fmt.Errorf("write %s/%s: %w: %w", kind, name, ErrUnknown, err)
+	}
+	return o.Version, nil
+}
+
+// call makes a read and returns the body of its answer.
+func (k *Kinds) call(ctx context.Context, call *sling.Sling, timeout time.Duration) ([]byte, error) {
+	status, _, body, err := k.client.do(ctx, call, timeout)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusOK:
+		return body, nil
+	case status == http.StatusNotFound:
+		return nil, ErrNotFound
+	case status == http.StatusGone:
+		return nil, ErrHistoryGone
+	default:
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -47,6 +47,7 @@
 const (
 	KindRequest Kind = 1 // A caller's request on its way to a coordinator.
 	KindRecord  Kind = 2 // A call of a journal's keeper.
+	KindCopy    Kind = 3 // A call for another instance's copies of the platform's objects.
 )
 
 // UnreachableError reports that nothing was sent to a peer.
