--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -77,6 +77,8 @@
 	registrar.Entry
 	// Excluded servers get no keys, and lose those that they have.
 	Excluded bool
+	// Cold servers bear little.
+	Cold bool
 	// Lost servers do not answer their granter.
 	Lost bool
 	// Unsteady servers are in a zone whose granters are not all heard: what is known of
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -22,10 +22,23 @@
 // next owners can take.
 func (p *plan) balance() {
 	moving := 0
+	owners := map[identifier.BackendServer]bool{}
 	for _, s := range p.next.Segments {
 		if s.Moving {
 			moving++
 		}
+		owners[s.Owner] = true
+	}
+	empty := 0
+	for id := range p.load {
+		if !owners[id] && !p.Servers[id].Cold {
+			empty++
+		}
+	}
+	for ; moving < empty; moving++ { // Each will go to a server that has none.
+		if !p.halve(p.fullest()) {
+			return
+		}
 	}
 	for ; moving < mostMoving; moving++ {
 		if !p.moveOne() {
@@ -34,6 +47,32 @@
 	}
 }
 
+// halve marks half of a server's heaviest segment.
+func (p *plan) halve(from identifier.BackendServer) bool {
+	best := p.heaviest(from)
+	if best < 0 || p.next.Segments[best].Range.Len() < 2 {
+		return false
+	}
+	r := p.next.Segments[best].Range
+	cut := p.cut(r, p.weight(r)/2)
+	p.load[from] = max(p.load[from]-p.Heat.Rate(cut), 0)
+	p.carve(best, cut)
+	p.changed = true
+	return true
+}
+
+// heaviest returns the segment of a server with the most load, or -1.
+func (p *plan) heaviest(from identifier.BackendServer) int {
+	best := -1
+	for n, s := range p.next.Segments {
+		if s.Owner == from && !s.Moving && !p.Servers[from].Unsteady &&
+			(best < 0 || p.weight(s.Range) > p.weight(p.next.Segments[best].Range)) {
+			best = n
+		}
+	}
+	return best
+}
+
 // moveOne marks one segment and reports whether it has.
 func (p *plan) moveOne() bool {
 	servers, mean := p.byUse()
@@ -41,9 +80,6 @@
 		return false
 	}
 	high, low := servers[len(servers)-1], servers[0]
-	if p.empty(low) {
-		return p.mark(p.fullest(), low, mean)
-	}
 	if p.use(high) < max(overMean*mean, leastUse) {
 		return false
 	}
@@ -52,20 +88,6 @@
 
 func (p *plan) use(id identifier.BackendServer) float64 { return p.load[id] / p.Servers[id].Capacity }
 
-// empty reports whether a server that can take work has no keys, and none is on its
-// way.
-func (p *plan) empty(id identifier.BackendServer) bool {
-	if p.load[id] > 0 {
-		return false
-	}
-	for _, s := range p.next.Segments {
-		if s.Owner == id || s.Moving {
-			return false
-		}
-	}
-	return true
-}
-
 // fullest returns the server with the most load per capacity, or keys if there is no load.
 func (p *plan) fullest() (best identifier.BackendServer) {
 	weights := map[identifier.BackendServer]float64{}
@@ -102,12 +124,7 @@
 	spare := max(mean, p.use(from)/2)*p.Servers[to].Capacity - p.load[to]
 	excess := p.load[from] - mean*p.Servers[from].Capacity
 	amount := min(spare, max(excess, p.load[from]/4))
-	best := -1
-	for n, s := range p.next.Segments {
-		if s.Owner == from && !s.Moving && !p.Servers[from].Unsteady && (best < 0 || p.weight(s.Range) > p.weight(p.next.Segments[best].Range)) {
-			best = n
-		}
-	}
+	best := p.heaviest(from)
 	if best < 0 || amount <= 0 {
 		return false
 	}
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -21,6 +21,9 @@
 	// steadyTime is the time after which a zone's granters and entries count as settled
 	// again: entries that lapsed in a cut are back by then.
 	steadyTime = 2500 * time.Millisecond
+	// firstWait is the time without a new backend server after which a service's keys are
+	// given out for the first time.
+	firstWait = time.Second
 	// coldCapacity is the capacity of a cold server, as a part of the requests a second that
 	// it bears.
 	coldCapacity = 0.5
@@ -74,6 +77,9 @@
 	next := map[identifier.Service]*allocator.Allocation{}
 	stale := false // A mark is newer than the newest list of rosters.
 	for _, service := range services {
+		if c.view.allocations[service] == nil && now.Sub(c.view.entriesAt) < firstWait {
+			continue // Backend servers are still registering.
+		}
 		stale = stale || c.unreadMarks(service)
 		if a := allocator.Plan(c.view.allocations[service], c.planInput(now, service, balance)); a != nil {
 			next[service] = a
@@ -134,6 +140,7 @@
 			Entry: e, Excluded: c.view.evacuated[e.Zone],
 			Lost:     lost[gossiper.LostServer{Server: id, Life: e.Life}] || c.leaser.Lost(now, id, e.Life),
 			Unsteady: !c.steady(now, e.Zone),
+			Cold:     now.Before(c.coldUntil(e)),
 			Capacity: c.capacity(now, e, usual),
 		}
 	}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -38,6 +38,7 @@
 	allocations map[identifier.Service]*allocator.Allocation
 	rosters     map[identifier.Zone]leaser.Roster
 	segments    map[segmentKey]*segmentState
+	entriesAt   time.Time // When a new backend server was seen last.
 	heat        map[identifier.Service]*allocator.Heat
 	ownAsked    time.Time // When the newest list of the system's own objects was asked for.
 	badEntries  map[string]identifier.Version
@@ -142,6 +143,9 @@
 		entries[e.ID] = e
 		delete(c.view.removed, e.ID)
 		if s := c.view.seen[e.ID]; s.version != e.Version {
+			if s.version == 0 {
+				c.view.entriesAt = now
+			}
 			coldTill := s.coldTill
 			if s.life != e.Life {
 				coldTill = time.Time{}
