mirrorer: a dropped history is noticed within two seconds

Cause: when the platform's store forgets its history, watches that wait hear nothing until the next change of their kind, and only then end with 410. Ruled out by a trace of each watch: answers that were lost, and connections that were cut. Change: the watch of configurations is renewed every 2 s; whichever watch learns of the loss makes all kinds list anew.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -81,6 +81,13 @@
 	// outages and cuts that the platform's pages name, since a zone that is cut off goes on
 	// serving for that long.
 	grantAuthority = 20 * time.Second
+	// watchWait is the time that a watch waits: the connection itself tells sooner that the
+	// platform is gone.
+	watchWait = 20 * time.Second
+	// shortWatchWait is the time that one of the watches waits. When the store forgets its
+	// history, watches that wait hear nothing until they are made anew; this one tells in
+	// time for the bound on configurations.
+	shortWatchWait = 2 * time.Second
 	// settleTime is the time after the start in which the instances hear of each other.
 	settleTime = time.Second
 )
@@ -169,7 +176,11 @@
 		c.gossip.Hint(seed)
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
-		c.mirrors[kind] = mirrorer.New(kind, store, clock, c.changed, c.storeEnded, c.storePause)
+		wait := watchWait
+		if kind == kinds.Config {
+			wait = shortWatchWait
+		}
+		c.mirrors[kind] = mirrorer.New(kind, store, wait, clock, c.changed, c.storeEnded, c.storePause)
 	}
 	return c
 }
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"strings"
 	"time"
@@ -399,6 +400,15 @@
 		c.storeWorked(c.clock())
 		return
 	}
+	if errors.Is(err, storer.ErrHistoryGone) {
+		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store dropped its history, everything is listed anew")
+		for other, m := range c.mirrors {
+			if other != kind {
+				m.Refresh()
+			}
+		}
+		return
+	}
 	if c.view.storeDownAt.IsZero() {
 		c.view.storeDownAt = c.clock()
 		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store does not answer")
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -34,29 +34,28 @@
 	changed  func(storer.ObjectKind)
 	ended    func(storer.ObjectKind, error)
 	wait     func(ctx context.Context, failures int) // Before another try.
+	watch    time.Duration                           // That a watch waits.
 
 	mu       sync.Mutex
 	objects  map[string]storer.Object
 	revision identifier.Version
 	asOf     time.Time // When the newest answer of the platform was asked for.
 	up       bool
+	again    context.CancelFunc // Ends the present watch.
 	done     chan error
 }
 
 // New returns a Mirror that holds nothing. changed is called after each change; ended
-// with the error of each call, nil if it worked; wait pauses after one that failed.
-func New(kind storer.ObjectKind, p Platform, clock func() time.Time, changed func(storer.ObjectKind),
+// with the error of each call, nil if it worked; wait pauses after one that failed. A
+// watch waits for the time watch.
+func New(kind storer.ObjectKind, p Platform, watch time.Duration, clock func() time.Time, changed func(storer.ObjectKind),
 	ended func(storer.ObjectKind, error), wait func(context.Context, int)) *Mirror {
 	return &Mirror{
-		kind: kind, platform: p, clock: clock, changed: changed, ended: ended, wait: wait,
+		kind: kind, platform: p, watch: watch, clock: clock, changed: changed, ended: ended, wait: wait,
 		objects: map[string]storer.Object{}, done: make(chan error, 1),
 	}
 }
 
-// watchWait is the time that a watch waits: the connection itself tells sooner that the
-// platform is gone.
-const watchWait = 20 * time.Second
-
 // Done returns the channel on which Run reports its end.
 func (m *Mirror) Done() <-chan error { return m.done }
 
@@ -64,16 +63,25 @@
 func (m *Mirror) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		err := m.follow(ctx, func() {
+		round, again := context.WithCancel(ctx)
+		m.mu.Lock()
+		m.again = again
+		m.mu.Unlock()
+		err := m.follow(round, func() {
 			failures = 0
 			m.ended(m.kind, nil)
 		})
+		refreshed := round.Err() != nil
+		again()
 		if ctx.Err() != nil {
 			break
 		}
+		if refreshed {
+			continue
+		}
 		m.setUp(false)
+		m.ended(m.kind, err)
 		if !errors.Is(err, storer.ErrHistoryGone) {
-			m.ended(m.kind, err)
 			m.wait(ctx, failures)
 			failures++
 		}
@@ -92,7 +100,7 @@
 	m.setUp(true)
 	from := page.Revision
 	for {
-		events, err := m.platform.Watch(ctx, m.kind, from, watchWait)
+		events, err := m.platform.Watch(ctx, m.kind, from, m.watch)
 		if err != nil {
 			return err
 		}
@@ -102,6 +110,15 @@
 	}
 }
 
+// Refresh lists the kind anew.
+func (m *Mirror) Refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.again != nil {
+		m.again()
+	}
+}
+
 func (m *Mirror) setUp(up bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
