leaser, gossiper, scheduler: a process leaves a roster only when its grants have lapsed

The successor had just been started, its connections were not yet known to lead to the right lives, its release went unanswered, and the planner took that for free: the former owner held the keys for another second. Ruled out: late grants, rosters read too early. The successor had taken over for no reason: its peers kept sending to the connection of the process before, since they heard the new one and so did not drop it. Change: a process stays on the roster until all its grants are over and speaks for itself; a new incarnation makes peers connect anew. Instances tell each other their requests at each server, since reports in answers are rare where requests are.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -32,8 +32,8 @@
 // Allocation is one version of a service's allocation.
 type Allocation struct {
 	Service   identifier.Service
-	NextEpoch identifier.Epoch // Above all epochs ever used.
-	Segments  []Segment        // In order, without gaps.
+	NextEpoch identifier.Epoch   // Above all epochs ever used.
+	Segments  []Segment          // In order, without gaps.
 	Version   identifier.Version `json:"-"`
 }
 
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -51,6 +51,7 @@
 	every(ctx, gossiper.SendEvery, c.sendKick, func() {
 		now := c.clock()
 		c.mu.Lock()
+		c.scheduler.Heard(c.othersRunning(now))
 		state := c.gossip.Compose(now, c.state(now))
 		targets := c.gossip.Targets(now)
 		planner := c.planner(now)
@@ -129,6 +130,7 @@
 		}
 	}
 	s.Releases = c.releases(now)
+	s.Running = c.scheduler.Running()
 	kept := c.reported[:0]
 	for _, r := range c.reported {
 		if now.Sub(r.at) < crashKept {
@@ -140,6 +142,17 @@
 	return s
 }
 
+// othersRunning returns the requests that the other instances have at each server.
+func (c *Conductor) othersRunning(now time.Time) map[identifier.BackendServer]int {
+	sum := map[identifier.BackendServer]int{}
+	for _, p := range c.gossip.Live(now) {
+		for id, n := range p.Running {
+			sum[id] += n
+		}
+	}
+	return sum
+}
+
 // releases returns the moving segments on which nothing of this instance is in force.
 func (c *Conductor) releases(now time.Time) []allocator.Release {
 	var releases []allocator.Release
@@ -189,6 +202,10 @@
 		return
 	}
 	p := c.gossip.Peer(s.Instance)
+	if old != nil && old.Incarnation != s.Incarnation {
+		// Connections to the process before lead nowhere.
+		c.tasks.Go(func(context.Context) { c.transport.Drop(s.Address) })
+	}
 	if old == nil || old.Incarnation != s.Incarnation || old.Leaving != s.Leaving || p.HeardSince.Equal(now) {
 		c.log.WithFields(logrus.Fields{"Peer": s.Instance, "PeerIncarnation": s.Incarnation, "Zone": s.Zone, "Leaving": s.Leaving, "StoreUp": s.StoreUp}).Info("instance is heard")
 		c.refresh(now)
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -122,7 +122,7 @@
 			p := c.gossip.Peer(h.Instance)
 			return h.Instance != c.settings.Instance && (p == nil || now.Sub(p.HeardAt) >= silentTime)
 		}), true
-	case !wanted && on && (mine.Fenced || c.giving(now, zone)) && c.leaser.Idle(now):
+	case !wanted && on && (mine.Fenced || c.giving(now, zone)) && c.leaser.Idle(now, zone):
 		return r.Without(func(h leaser.Holder) bool { return h == mine }), true
 	case wanted && on:
 		next := r.Without(func(h leaser.Holder) bool { return h != mine && c.over(now, zone, h) })
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -54,11 +54,11 @@
 func (e *BrokenError) Unwrap() error { return e.Err }
 
 var (
-	errTooLarge  = errors.New("answer is too large")
-	errForeign   = errors.New("too many answers to other requests")
-	errNoLength  = errors.New("answer to another request has no length")
-	errFull      = errors.New("connection limit is reached")
-	errYoung     = errors.New("no connection is old enough")
+	errTooLarge = errors.New("answer is too large")
+	errForeign  = errors.New("too many answers to other requests")
+	errNoLength = errors.New("answer to another request has no length")
+	errFull     = errors.New("connection limit is reached")
+	errYoung    = errors.New("no connection is old enough")
 )
 
 const (
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -52,8 +52,7 @@
 	Lost        []LostServer
 	Crashes     []quarantiner.Crash
 	Heat        map[identifier.Service]allocator.Sketch
-	Served      []allocator.Release // Grants that have been accepted since the last states.
-	Running     map[identifier.BackendServer]int
+	Running     map[identifier.BackendServer]int // Requests of this instance at each server.
 }
 
 const (
@@ -199,7 +198,6 @@
 // countFor is the time for which a silent instance counts in shares of limits.
 const countFor = 10 * time.Second
 
-
 // Silent returns the addresses of instances that have just gone silent, or are silent
 // still, at most once a second each: connections to them may be dead.
 func (g *Gossiper) Silent(now time.Time) []string {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -113,6 +113,7 @@
 
 // server is one life of a backend server.
 type server struct {
+	zone      identifier.Zone
 	calls     []call
 	leases    map[segmentKey]*lease
 	open      int
@@ -172,6 +173,7 @@
 			continue // The process that has the keys has ended.
 		}
 		s := l.server(now, seg.Owner, seg.Life)
+		s.zone = seg.Zone
 		key := segmentKey{v.Allocation.Service, seg.Range, seg.Epoch}
 		le, ok := s.leases[key]
 		if !ok {
@@ -323,15 +325,13 @@
 	return "", le != nil && (le.releaseAt != time.Time{})
 }
 
-// Idle reports whether nothing that this process granted in a zone is in force that an
-// answered renewal of another process does not cover: no call is under way, and those
-// without an answer have lapsed.
-func (l *Leaser) Idle(now time.Time) bool {
+// Idle reports whether nothing that this process granted in a zone is in force: then it
+// may leave the zone's roster. An answered grant counts until it lapses: another process may not be able
+// to renew it, nor to take it back.
+func (l *Leaser) Idle(now time.Time, zone identifier.Zone) bool {
 	for _, s := range l.servers {
-		for _, c := range s.calls {
-			if c.open || !c.answered && now.Before(c.overAt) {
-				return false
-			}
+		if s.zone == zone && s.inForce(now) {
+			return false
 		}
 	}
 	return true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,6 +84,9 @@
 	smoothing = 0.15
 	// loadKept is the time in which a report of load loses most of its meaning.
 	loadKept = 600 * time.Millisecond
+	// heardWeight is the weight of what the instances say now, against what they said
+	// before.
+	heardWeight = 0.4
 	// finishShare is the part of the usual latency that must be left before a deadline.
 	finishShare = 0.6
 	// ownerPatience bounds the wait for a key that is moving: about the time in which the
@@ -100,6 +103,7 @@
 	running   int
 	others    float64 // Requests of other instances, running or waiting there.
 	othersAt  time.Time
+	heard     float64 // Requests of other instances there, by what they say.
 	latency   float64 // Milliseconds, averaged.
 	slowness  float64 // Of the machine at slowAt; 1 is usual.
 	slowAt    time.Time
@@ -417,12 +421,21 @@
 	if s.isCold(now, sv) && !sv.cold.May(now, sv.coldRate, s.instances) {
 		return false
 	}
-	return sv.running == 0 || float64(sv.running)+sv.othersNow(now) < sv.limit(now)
+	return float64(sv.running)+sv.othersNow(now) < sv.limit(now)
 }
 
-// othersNow is the estimate of other instances' requests, which fades with its age.
+// othersNow is the estimate of other instances' requests: what the server reported,
+// and as that ages what the instances say.
 func (sv *server) othersNow(now time.Time) float64 {
-	return sv.others * math.Exp(-float64(now.Sub(sv.othersAt))/float64(2*loadKept))
+	fresh := math.Exp(-float64(now.Sub(sv.othersAt)) / float64(loadKept))
+	return fresh*sv.others + (1-fresh)*sv.heard
+}
+
+// Heard takes in the requests that other instances have at each server.
+func (s *Scheduler) Heard(running map[identifier.BackendServer]int) {
+	for id, sv := range s.servers {
+		sv.heard += heardWeight * (float64(running[id]) - sv.heard)
+	}
 }
 
 func (sv *server) limit(now time.Time) float64 {
