--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -248,9 +248,39 @@
 	return poolKey{}, nil
 }
 
+// prewarm makes connections for orders to the servers of this instance's zone as soon as
+// they are known: they have to be some time old before grants may be sent over them.
+func (c *Conductor) prewarm() {
+	c.mu.Lock()
+	if c.clock().Sub(c.startedAt) > prewarmTime || c.view.table == nil {
+		c.mu.Unlock()
+		return
+	}
+	var cold []*exchanger.Pool
+	for key, p := range c.orders {
+		e, ok := c.view.entries[key.id]
+		if ok && e.Zone == c.settings.Zone && c.view.table.Services[e.Service].Keyed {
+			cold = append(cold, p)
+		}
+	}
+	c.verifyAt = c.clock()
+	c.mu.Unlock()
+	for _, p := range cold {
+		c.tasks.Go(func(ctx context.Context) {
+			if err := p.Prepare(ctx); err != nil {
+				c.log.WithField("Error", err).Debug("no connection for orders yet")
+			}
+		})
+	}
+}
+
+// prewarmTime is the time after the start in which connections for orders are made ahead.
+const prewarmTime = 1500 * time.Millisecond
+
 // verifyLoop lists the servers while a connection waits to be known by its server's life.
 func (c *Conductor) verifyLoop(ctx context.Context) {
 	every(ctx, verifyEvery, nil, func() {
+		c.prewarm()
 		now := c.clock()
 		c.mu.Lock()
 		wanted := !c.verifyAt.IsZero() && now.Sub(c.verifyAt) < c.settings.Heartbeat+lifeLag && c.view.storeDownAt.IsZero()
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -106,14 +106,32 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if st := c.segmentAt(e, service, key); st != nil {
+		st.misdirected = now.Add(min(missTime<<min(st.misses, 10), missTimeMost))
+		st.misses++
+	}
+}
+
+// Owned implements forwarder.Core.
+func (c *Conductor) Owned(e registrar.Entry, service identifier.Service, key identifier.Point) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st := c.segmentAt(e, service, key); st != nil && st.misses > 0 {
+		st.misses, st.misdirected = 0, time.Time{}
+	}
+}
+
+// segmentAt returns the state of a key's segment if the server owns it.
+func (c *Conductor) segmentAt(e registrar.Entry, service identifier.Service, key identifier.Point) *segmentState {
 	a := c.view.allocations[service]
 	if a == nil {
-		return
+		return nil
 	}
 	s := a.Find(key)
-	if st := c.view.segments[segmentKey{service, s.Range, s.Epoch}]; st != nil && s.Owner == e.ID {
-		st.misdirected = now.Add(misdirectedTime)
+	if s.Owner != e.ID || s.Life != e.Life {
+		return nil
 	}
+	return c.view.segments[segmentKey{service, s.Range, s.Epoch}]
 }
 
 // MayRepeat implements forwarder.Core.
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -64,6 +64,7 @@
 type segmentState struct {
 	seenAt       time.Time
 	movingAt     time.Time
+	misses       int       // Requests that the owner refused since it served one.
 	misdirected  time.Time // Until when the owner is taken not to have the keys.
 	servedLogged bool
 }
@@ -377,6 +378,9 @@
 		own.ReadyAt = st.seenAt.Add(grantTime)
 	default:
 		own.Ready = true
+		if st.misses > 0 {
+			st.misdirected = now.Add(probeTime) // One request asks for all.
+		}
 	}
 	return own
 }
@@ -387,9 +391,14 @@
 	// grantTime is about the time from an allocation's arrival here to the grant's arrival
 	// at the owner.
 	grantTime = 20 * time.Millisecond
-	// misdirectedTime is the time in which an owner that refused a key is not asked again
-	// for keys of the segment.
-	misdirectedTime = 100 * time.Millisecond
+	// missTime is the time after a first refusal by an owner in which it is not asked for
+	// keys of the segment; it doubles with each further one.
+	missTime = 40 * time.Millisecond
+	// missTimeMost bounds that time.
+	missTimeMost = 640 * time.Millisecond
+	// probeTime is the time in which one request finds out for the others whether an owner
+	// that refused has the keys by now.
+	probeTime = 100 * time.Millisecond
 )
 
 // storeEnded takes in the end of a call to the platform's store.
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -89,6 +89,19 @@
 	return p.use(ctx, c, r)
 }
 
+// Prepare makes an idle connection for later, unless there is one.
+func (p *Pool) Prepare(ctx context.Context) error {
+	if open, _ := p.Open(); open > 0 {
+		return nil
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // prepare makes an idle connection unless one that is younger than before is there.
 func (p *Pool) prepare(ctx context.Context, before time.Time) error {
 	if c := p.takeIdle(func(c *conn) bool { return !c.madeAt.Before(before) }); c != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	Finished(e registrar.Entry, r scheduler.Report)
 	// Misdirected takes in that a backend server does not own a key.
 	Misdirected(e registrar.Entry, service identifier.Service, key identifier.Point)
+	// Owned takes in that a backend server owns a key.
+	Owned(e registrar.Entry, service identifier.Service, key identifier.Point)
 	// MayRepeat reports whether another request to the service is within the bound of
 	// repeats, and counts it.
 	MayRepeat(service identifier.Service) bool
@@ -345,6 +347,9 @@
 			return f.again(fl, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer is not the backend server's"})
 		}
 		f.core.Completed(fl.fingerprint)
+		if fl.keyed {
+			f.core.Owned(e, fl.service, fl.key)
+		}
 		return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
 	}
 	report.Outcome = scheduler.Shed
