conductor: instances tell each other what they write, in place of watching it

Change: the system's own objects are listed every 4 s, which renews the authority to grant too; whoever writes one sends it, or an allocation's difference, to the others; one that is behind fetches a copy. Watches pause 0.1 s after an event, since changes come in groups.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -43,18 +43,23 @@
 	if err := json.Unmarshal(data, a); err != nil {
 		return nil, fmt.Errorf("decode allocation: %w", err)
 	}
+	return a, a.check()
+}
+
+// check reports an allocation that does not cover every key once.
+func (a *Allocation) check() error {
 	next := 0
 	for _, s := range a.Segments {
 		if int(s.Range.From) != next || s.Range.To < s.Range.From || s.Epoch >= a.NextEpoch {
-			return nil, fmt.Errorf("allocation of %s: segment %s with epoch %d does not follow key %d, next epoch %d",
+			return fmt.Errorf("allocation of %s: segment %s with epoch %d does not follow key %d, next epoch %d",
 				a.Service, s.Range, s.Epoch, next-1, a.NextEpoch)
 		}
 		next = int(s.Range.To) + 1
 	}
 	if next != identifier.Points {
-		return nil, fmt.Errorf("allocation of %s ends at key %d", a.Service, next-1)
+		return fmt.Errorf("allocation of %s ends at key %d", a.Service, next-1)
 	}
-	return a, nil
+	return nil
 }
 
 // Encode returns the form that is kept on the platform.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -121,6 +121,9 @@
 	heat      map[identifier.Service]*allocator.Counter
 	crashes   *quarantiner.Quarantiner
 	reported  []crashReport
+	pushed    []storer.Object   // Written, and not told to the others yet.
+	deltas    []allocator.Delta // Likewise.
+	behindAt  time.Time         // Since when another instance has newer objects.
 	crashRuns uint64
 	pools     map[poolKey]*exchanger.Pool
 	orders    map[poolKey]*exchanger.Pool
@@ -177,8 +180,11 @@
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
 		wait := watchWait
-		if kind == kinds.Config {
+		switch kind {
+		case kinds.Config:
 			wait = shortWatchWait
+		case kinds.Own:
+			wait = 0 // Whoever writes these tells the others.
 		}
 		c.mirrors[kind] = mirrorer.New(kind, store, wait, clock, c.changed, c.storeEnded, c.storePause)
 	}
@@ -208,7 +214,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context){
-		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.confirmLoop,
+		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop,
 	} {
 		c.tasks.Go(loop)
 	}
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -31,9 +31,6 @@
 	// verifyEvery is the time between two lists of servers that are made to be sure of
 	// their lives.
 	verifyEvery = 300 * time.Millisecond
-	// confirmEvery is the time between two confirmations that this instance is on the
-	// rosters.
-	confirmEvery = 4 * time.Second
 )
 
 // may reports whether this process may grant in a zone now. The caller holds the lock.
@@ -304,25 +301,8 @@
 	})
 }
 
-func (c *Conductor) takeList(kind storer.ObjectKind, page storer.Page, asked time.Time) {
-	c.mirrors[kind].Take(copyOf(kind, page), asked)
-}
-
-// confirmLoop asks the store whether this instance is on the rosters still.
-func (c *Conductor) confirmLoop(ctx context.Context) {
-	every(ctx, tickEvery*20, nil, func() {
-		now := c.clock()
-		c.mu.Lock()
-		wanted := false
-		for zone := range c.view.rosters {
-			wanted = wanted || c.holds(zone)
-		}
-		wanted = wanted && now.Sub(c.view.ownAsked) >= confirmEvery && c.view.storeDownAt.IsZero()
-		c.mu.Unlock()
-		if wanted {
-			c.listOwn(ctx)
-		}
-	})
+func (c *Conductor) takeList(kind storer.ObjectKind, page storer.Page, asked time.Time) bool {
+	return c.mirrors[kind].Take(copyOf(kind, page), asked)
 }
 
 // listOwn reads the system's own objects and reports whether it could.
@@ -333,11 +313,5 @@
 	if err != nil {
 		return false
 	}
-	c.takeList(c.kinds.Own, page, asked)
-	c.mu.Lock()
-	if asked.After(c.view.ownAsked) {
-		c.view.ownAsked = asked
-	}
-	c.mu.Unlock()
-	return true
+	return c.takeList(c.kinds.Own, page, asked)
 }
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -130,6 +130,8 @@
 		}
 	}
 	s.Releases = c.releases(now)
+	s.Newest, s.Objects, s.Deltas = c.view.newest, c.pushed, c.deltas
+	c.pushed, c.deltas = nil, nil
 	s.Running = c.scheduler.Running()
 	kept := c.reported[:0]
 	for _, r := range c.reported {
@@ -215,12 +217,50 @@
 	}
 	c.relay(p)
 	wakes := len(s.Releases) > 0
+	objects := append(s.Objects, c.applied(s.Deltas)...)
+	if s.Newest <= c.view.newest {
+		c.behindAt = time.Time{}
+	} else if c.behindAt.IsZero() {
+		c.behindAt = now
+	}
 	c.mu.Unlock()
+	if len(objects) > 0 {
+		c.mirrors[c.kinds.Own].Merge(objects)
+	}
 	if wakes {
 		kick(c.planKick)
 	}
 }
 
+// applied returns the allocations that deltas lead to. One whose base is not known here
+// is left to a later copy.
+func (c *Conductor) applied(deltas []allocator.Delta) []storer.Object {
+	var objects []storer.Object
+	next := map[identifier.Service]*allocator.Allocation{}
+	for _, d := range deltas {
+		base, ok := next[d.Service]
+		if !ok {
+			base = c.view.allocations[d.Service]
+		}
+		if base != nil && base.Version >= d.Version {
+			continue
+		}
+		a, err := allocator.Apply(base, d)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"Service": d.Service, "Version": d.Version, "Error": err}).Info("allocation's change does not fit")
+			continue
+		}
+		data, err := a.Encode()
+		if err != nil {
+			c.log.WithField("Error", err).Error("allocation does not encode")
+			continue
+		}
+		next[d.Service] = a
+		objects = append(objects, storer.Object{Name: allocationPrefix + string(d.Service), Version: d.Version, Data: data})
+	}
+	return objects
+}
+
 // relay takes the confirmations of a peer that the store answers for this instance's
 // own: they are as good as if this instance had asked at the time after which the state
 // was made, less their age.
@@ -258,7 +298,7 @@
 	}
 	var answer copyAnswer
 	for kind, m := range c.mirrors {
-		if copied, _ := m.Copy(); copied.Revision > req.Revisions[kind] {
+		if copied, _ := m.Copy(); copied.Newest() > req.Revisions[kind] {
 			answer.Copies = append(answer.Copies, copied)
 		}
 	}
@@ -276,7 +316,8 @@
 	every(ctx, copyEvery, nil, func() {
 		now := c.clock()
 		c.mu.Lock()
-		down := !c.view.storeDownAt.IsZero() || c.view.table == nil
+		behind := !c.behindAt.IsZero() && now.Sub(c.behindAt) >= copyEvery/2
+		down := !c.view.storeDownAt.IsZero() || c.view.table == nil || behind
 		targets := c.gossip.Targets(now)
 		c.mu.Unlock()
 		if !down || len(targets) == 0 {
@@ -291,7 +332,7 @@
 	req := copyRequest{map[storer.ObjectKind]identifier.Version{}}
 	for kind, m := range c.mirrors {
 		copied, _ := m.Copy()
-		req.Revisions[kind] = copied.Revision
+		req.Revisions[kind] = copied.Newest()
 	}
 	data, err := cbor.Marshal(req)
 	if err != nil {
@@ -311,7 +352,15 @@
 		return
 	}
 	for _, copied := range answer.Copies {
-		if m, ok := c.mirrors[copied.Kind]; ok && m.Take(copied, time.Time{}) {
+		m, ok := c.mirrors[copied.Kind]
+		if !ok {
+			continue
+		}
+		if copied.Kind == c.kinds.Own {
+			m.Merge(copied.Objects) // A copy of these is no list: it may lack some.
+			continue
+		}
+		if m.Take(copied, time.Time{}) {
 			c.log.WithFields(logrus.Fields{"Address": address, "Kind": copied.Kind, "Revision": copied.Revision}).Info("copy taken from another instance")
 		}
 	}
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/turmericlift/turmericlift/allocator"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/mirrorer"
@@ -46,7 +48,10 @@
 	var conflict *storer.ConflictError
 	switch {
 	case err == nil:
-		c.mirrors[c.kinds.Own].Put(storer.Object{Name: name, Version: v, Data: data})
+		o := storer.Object{Name: name, Version: v, Data: data}
+		c.push(o)
+		c.mirrors[c.kinds.Own].Merge([]storer.Object{o})
+		kick(c.sendKick)
 		return true
 	case errors.As(err, &conflict):
 		c.log.WithFields(logrus.Fields{"Object": name, "Expected": expected, "Present": conflict.Present}).Info("object was changed by another instance")
@@ -57,6 +62,23 @@
 	return false
 }
 
+// push has the other instances told of an object that was written: of an allocation, the
+// difference.
+func (c *Conductor) push(o storer.Object) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !strings.HasPrefix(o.Name, allocationPrefix) {
+		c.pushed = append(c.pushed, o)
+		return
+	}
+	next, err := allocator.Decode(o.Data, o.Version)
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"Object": o.Name, "Error": err}).Error("written allocation does not decode")
+		return
+	}
+	c.deltas = append(c.deltas, allocator.Diff(c.view.allocations[next.Service], next, o.Version))
+}
+
 // keepRosters joins and leaves the rosters of the zones.
 func (c *Conductor) keepRosters(ctx context.Context) {
 	now := c.clock()
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -41,7 +41,8 @@
 	segments    map[segmentKey]*segmentState
 	entriesAt   time.Time // When a new backend server was seen last.
 	heat        map[identifier.Service]*allocator.Heat
-	ownAsked    time.Time // When the newest list of the system's own objects was asked for.
+	newest      identifier.Version // Of the system's own objects.
+	ownAsked    time.Time          // When the newest list of the system's own objects was asked for.
 	badEntries  map[string]identifier.Version
 	storeDownAt time.Time // Start of the present outage; zero while the platform answers.
 	storeUpAt   time.Time // End of the last outage.
@@ -92,9 +93,9 @@
 
 // changed takes in that a mirror's copy has changed.
 func (c *Conductor) changed(kind storer.ObjectKind) {
-	copied, asked := c.mirrors[kind].Copy()
 	now := c.clock()
 	c.mu.Lock()
+	copied, asked := c.mirrors[kind].Copy() // Under the lock: the newest copy is read last.
 	switch kind {
 	case c.kinds.Config:
 		c.readConfig(copied.Objects)
@@ -207,6 +208,7 @@
 	}
 	var members []string
 	for _, o := range objects {
+		c.view.newest = max(c.view.newest, o.Version)
 		switch {
 		case strings.HasPrefix(o.Name, allocationPrefix):
 			c.readAllocation(now, o)
@@ -228,14 +230,15 @@
 }
 
 func (c *Conductor) readAllocation(now time.Time, o storer.Object) {
+	service := identifier.Service(strings.TrimPrefix(o.Name, allocationPrefix))
+	if old := c.view.allocations[service]; old != nil && old.Version >= o.Version {
+		return
+	}
 	a, err := allocator.Decode(o.Data, o.Version)
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Error("allocation does not decode")
 		return
 	}
-	if old := c.view.allocations[a.Service]; old != nil && old.Version >= a.Version {
-		return
-	}
 	c.view.allocations[a.Service] = a
 	known := map[segmentKey]bool{}
 	moving := 0
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/registrar"
+	"github.com/turmericlift/turmericlift/storer"
 )
 
 // LostServer names a life of a backend server that does not answer.
@@ -52,7 +53,11 @@
 	Lost        []LostServer
 	Crashes     []quarantiner.Crash
 	Heat        map[identifier.Service]allocator.Sketch
-	Running     map[identifier.BackendServer]int // Requests of this instance at each server.
+	// Newest is the highest version among the system's own objects that the sender has.
+	Newest  identifier.Version
+	Objects []storer.Object                  // That the sender has just written.
+	Deltas  []allocator.Delta                // Of allocations that the sender has just written.
+	Running map[identifier.BackendServer]int // Requests of this instance at each server.
 }
 
 const (
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -19,13 +19,22 @@
 	Watch(ctx context.Context, kind storer.ObjectKind, from identifier.Version, wait time.Duration) (storer.Events, error)
 }
 
-// Copy is all objects of a kind at a revision.
+// Copy is all objects of a kind at a revision, and maybe newer ones.
 type Copy struct {
 	Kind     storer.ObjectKind
 	Revision identifier.Version
 	Objects  []storer.Object
 }
 
+// Newest returns the highest version of an object.
+func (c Copy) Newest() identifier.Version {
+	newest := c.Revision
+	for _, o := range c.Objects {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
 // Mirror is the copy of one kind. It is safe for concurrent use.
 type Mirror struct {
 	kind     storer.ObjectKind
@@ -34,7 +43,7 @@
 	changed  func(storer.ObjectKind)
 	ended    func(storer.ObjectKind, error)
 	wait     func(ctx context.Context, failures int) // Before another try.
-	watch    time.Duration                           // That a watch waits.
+	watch    time.Duration                           // That a watch waits; 0: lists only.
 
 	mu       sync.Mutex
 	objects  map[string]storer.Object
@@ -47,7 +56,8 @@
 
 // New returns a Mirror that holds nothing. changed is called after each change; ended
 // with the error of each call, nil if it worked; wait pauses after one that failed. A
-// watch waits for the time watch.
+// watch waits for the time watch; if that is 0, the kind is not watched but listed every
+// listEvery, and whoever writes its objects tells the others.
 func New(kind storer.ObjectKind, p Platform, watch time.Duration, clock func() time.Time, changed func(storer.ObjectKind),
 	ended func(storer.ObjectKind, error), wait func(context.Context, int)) *Mirror {
 	return &Mirror{
@@ -76,7 +86,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if refreshed {
+		if refreshed || err == nil {
 			continue
 		}
 		m.setUp(false)
@@ -98,6 +108,10 @@
 	worked()
 	m.Take(Copy{m.kind, page.Revision, page.Objects}, asked)
 	m.setUp(true)
+	if m.watch == 0 {
+		sleep(ctx, listEvery)
+		return ctx.Err()
+	}
 	from := page.Revision
 	for {
 		events, err := m.platform.Watch(ctx, m.kind, from, m.watch)
@@ -107,6 +121,27 @@
 		worked()
 		from = max(from, events.Revision)
 		m.apply(events)
+		if len(events.Events) > 0 && !sleep(ctx, gatherTime) {
+			return ctx.Err()
+		}
+	}
+}
+
+const (
+	// listEvery is the time between two lists of a kind that is not watched.
+	listEvery = 4 * time.Second
+	// gatherTime is the time between an event and the next watch: changes come in groups,
+	// and each answer of a watch is a call.
+	gatherTime = 100 * time.Millisecond
+)
+
+// sleep waits and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
@@ -133,21 +168,19 @@
 }
 
 // Take replaces the copy by a whole one that was asked for at a time, unless it is
-// older. It reports whether anything changed.
+// older. It reports whether the copy is at least as new now.
 func (m *Mirror) Take(c Copy, asked time.Time) bool {
 	m.mu.Lock()
 	if c.Revision < m.revision {
 		m.mu.Unlock()
 		return false
 	}
-	changed := m.revision == 0
 	objects := make(map[string]storer.Object, len(c.Objects))
 	for _, o := range c.Objects {
 		old, ok := m.objects[o.Name]
 		if ok && old.Version > o.Version {
 			o = old
 		}
-		changed = changed || !ok || old.Version != o.Version
 		objects[o.Name] = o
 	}
 	for name, o := range m.objects {
@@ -156,19 +189,31 @@
 		}
 		if o.Version > c.Revision { // Newer than the list.
 			objects[name] = o
-			continue
 		}
-		changed = true
 	}
 	m.objects, m.revision = objects, c.Revision
 	if asked.After(m.asOf) {
 		m.asOf = asked
 	}
 	m.mu.Unlock()
+	m.changed(m.kind)
+	return true
+}
+
+// Merge takes in objects that another instance has, each if it is newer.
+func (m *Mirror) Merge(objects []storer.Object) {
+	m.mu.Lock()
+	changed := false
+	for _, o := range objects {
+		if o.Version > m.objects[o.Name].Version {
+			m.objects[o.Name] = o
+			changed = true
+		}
+	}
+	m.mu.Unlock()
 	if changed {
 		m.changed(m.kind)
 	}
-	return changed
 }
 
 func (m *Mirror) apply(e storer.Events) {
@@ -193,19 +238,6 @@
 	}
 }
 
-// Put takes in the new version of one object that this process wrote.
-func (m *Mirror) Put(o storer.Object) {
-	m.mu.Lock()
-	newer := o.Version > m.objects[o.Name].Version
-	if newer {
-		m.objects[o.Name] = o
-	}
-	m.mu.Unlock()
-	if newer {
-		m.changed(m.kind)
-	}
-}
-
 // Copy returns the objects, the revision of the newest answer and when that was asked
 // for at the earliest.
 func (m *Mirror) Copy() (Copy, time.Time) {
