allocator, leaser: keys of a granter that is not heard are taken back by a fence

Ruled out: a shorter authority, which makes cut-off zones stop. Change: the planner names one process and a new epoch; that process grants the keys to their owner under it for 0.5 s and releases them. The owner refuses all older grants from then on, so nothing that the silent granter sends can be in force. Only the named process uses the epoch; each change of the way has a round that reports carry.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -27,6 +27,18 @@
 	Handover string `json:",omitempty"`
 	// Moving says that the owner is to be granted the keys no more.
 	Moving bool `json:",omitempty"`
+	// Round counts the ways that were tried to take the keys back.
+	Round int `json:",omitempty"`
+	// Fence, if it is not 0, is an epoch above Epoch that one process, Fencer, uses to
+	// make the owner refuse all grants of others, and then to take the keys back.
+	Fence  identifier.Epoch `json:",omitempty"`
+	Fencer Fencer           `json:",omitzero"`
+}
+
+// Fencer is the process that may use a segment's fence.
+type Fencer struct {
+	Instance    identifier.Instance
+	Incarnation identifier.Incarnation
 }
 
 // Allocation is one version of a service's allocation.
@@ -101,6 +113,7 @@
 	Service  identifier.Service
 	Range    identifier.Range
 	Epoch    identifier.Epoch
+	Round    int
 	Handover string
 }
 
@@ -117,6 +130,9 @@
 	// Released reports whether every granter of the segment's zone has said that it has
 	// nothing in force there, and the handover if there is one.
 	Released func(Segment) (bool, string)
+	// Stuck reports whether a segment that moves is to be taken back in another way: by a
+	// fence of the process that it returns, or by the granters' own word if that is empty.
+	Stuck func(Segment) (Fencer, bool)
 }
 
 // Plan returns the next version of an allocation, or nil if nothing is to change. The
@@ -128,6 +144,7 @@
 	}
 	p.repair()
 	p.commit()
+	p.fence()
 	if a != nil && !p.changed && in.Balance {
 		p.balance()
 	}
@@ -201,7 +218,34 @@
 		if !leaving && !p.Steady(s.Zone) {
 			continue
 		}
-		s.Moving = true
+		s.mark()
+		p.changed = true
+	}
+}
+
+// mark starts the move of a segment.
+func (s *Segment) mark() {
+	s.Moving = true
+	s.Round = 1
+}
+
+// fence changes the way in which segments that are stuck are taken back.
+func (p *plan) fence() {
+	for n := range p.next.Segments {
+		s := &p.next.Segments[n]
+		if !s.Moving {
+			continue
+		}
+		fencer, stuck := p.Stuck(*s)
+		if !stuck {
+			continue
+		}
+		s.Round++
+		s.Fence, s.Fencer = 0, fencer
+		if fencer != (Fencer{}) {
+			s.Fence = p.next.NextEpoch
+			p.next.NextEpoch++
+		}
 		p.changed = true
 	}
 }
@@ -246,7 +290,7 @@
 	server := p.Servers[to]
 	s.Owner, s.Life, s.Zone = to, server.Life, server.Zone
 	s.Epoch = p.next.NextEpoch
-	s.Moving = false
+	s.Moving, s.Round, s.Fence, s.Fencer = false, 0, 0, Fencer{}
 	p.next.NextEpoch++
 	p.load[to] += p.weight(s.Range)
 	p.changed = true
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -155,7 +155,8 @@
 func (p *plan) carve(n int, cut identifier.Range) {
 	s := p.next.Segments[n]
 	head, tail := s, s
-	head.Range, head.Moving = cut, true
+	head.Range = cut
+	head.mark()
 	parts := []Segment{head}
 	if cut.To < s.Range.To {
 		tail.Range.From = cut.To + 1
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/turmericlift/turmericlift/allocator"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
@@ -46,6 +47,11 @@
 	return now.Sub(confirmed) < grantAuthority
 }
 
+// self names this process.
+func (c *Conductor) self() allocator.Fencer {
+	return allocator.Fencer{Instance: c.settings.Instance, Incarnation: c.settings.Incarnation}
+}
+
 // giving reports whether another process that is on the roster is to grant in this
 // one's place.
 func (c *Conductor) giving(now time.Time, zone identifier.Zone) bool {
@@ -123,6 +129,7 @@
 		for _, a := range c.view.allocations {
 			orders = append(orders, c.leaser.Due(now, leaser.View{
 				Allocation: a,
+				Self:       c.self(),
 				Holds:      c.holds,
 				May:        func(zone identifier.Zone) bool { return c.may(now, zone) },
 				Life: func(id identifier.BackendServer) (registrar.Life, bool) {
@@ -211,7 +218,7 @@
 // that holds nothing.
 func (c *Conductor) sendVerified(ctx context.Context, o leaser.Order, r *exchanger.Request, orders, data *exchanger.Pool,
 	verified verification) (exchanger.Answer, error) {
-	if o.Kind == leaser.Release {
+	if o.Kind == leaser.Release || o.Fencing {
 		return orders.Do(ctx, r)
 	}
 	before := verified.asked.Add(-c.settings.Heartbeat - lifeLag)
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -160,11 +160,11 @@
 	var releases []allocator.Release
 	for service, a := range c.view.allocations {
 		for _, seg := range a.Segments {
-			if !seg.Moving || !c.holds(seg.Zone) {
+			if !seg.Moving || !c.holds(seg.Zone) || seg.Fence != 0 && seg.Fencer != c.self() {
 				continue
 			}
 			if handover, free := c.leaser.Free(now, service, seg); free {
-				releases = append(releases, allocator.Release{Service: service, Range: seg.Range, Epoch: seg.Epoch, Handover: handover})
+				releases = append(releases, allocator.Release{Service: service, Range: seg.Range, Epoch: seg.Epoch, Round: seg.Round, Handover: handover})
 			}
 		}
 	}
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -117,6 +117,7 @@
 		Service: service, Now: now, Balance: balance, Servers: map[identifier.BackendServer]allocator.Server{},
 		Released: func(s allocator.Segment) (bool, string) { return c.released(now, service, s) },
 	}
+	in.Stuck = func(s allocator.Segment) (allocator.Fencer, bool) { return c.stuck(now, service, s) }
 	lost := map[gossiper.LostServer]bool{}
 	for _, p := range c.gossip.Live(now) {
 		for _, l := range p.Lost {
@@ -206,6 +207,14 @@
 	if st == nil || st.movingAt.IsZero() || !c.view.ownAsked.After(st.movingAt) {
 		return false, ""
 	}
+	if s.Fence != 0 {
+		if s.Fencer == c.self() {
+			handover, done = c.leaser.Free(now, service, s)
+		} else if p := c.gossip.Peer(s.Fencer.Instance); p != nil && p.Incarnation == s.Fencer.Incarnation {
+			handover, done = findRelease(p.Releases, service, s)
+		}
+		return done, handover
+	}
 	for _, h := range c.view.rosters[s.Zone].Holders {
 		theirs, free := "", false
 		if h.Instance == c.settings.Instance && h.Incarnation == c.settings.Incarnation {
@@ -223,9 +232,51 @@
 	return true, handover
 }
 
+const (
+	// stuckAfter is the time after which keys whose granters are not all heard are taken
+	// back by a fence.
+	stuckAfter = 150 * time.Millisecond
+	// fenceTime is the time after which a fence has failed: the owner cannot be reached.
+	fenceTime = 3 * time.Second
+)
+
+// stuck decides whether a segment is taken back in another way, and by whom.
+func (c *Conductor) stuck(now time.Time, service identifier.Service, s allocator.Segment) (allocator.Fencer, bool) {
+	st := c.view.segments[segmentKey{service, s.Range, s.Epoch}]
+	if st == nil || st.movingAt.IsZero() {
+		return allocator.Fencer{}, false
+	}
+	if s.Fence != 0 {
+		lives := s.Fencer == c.self()
+		if p := c.gossip.Peer(s.Fencer.Instance); p != nil && p.Incarnation == s.Fencer.Incarnation {
+			lives = now.Sub(p.HeardAt) < silentTime
+		}
+		if lives && now.Sub(st.roundAt) < fenceTime {
+			return allocator.Fencer{}, false
+		}
+		return allocator.Fencer{}, true // Back to the granters' word; then maybe another fence.
+	}
+	if now.Sub(st.roundAt) < stuckAfter {
+		return allocator.Fencer{}, false
+	}
+	silent := false
+	var fencer allocator.Fencer
+	granter := c.granter(now, s.Zone)
+	for _, h := range c.view.rosters[s.Zone].Holders {
+		process := allocator.Fencer{Instance: h.Instance, Incarnation: h.Incarnation}
+		p := c.gossip.Peer(h.Instance)
+		heard := process == c.self() || p != nil && p.Incarnation == h.Incarnation && now.Sub(p.HeardAt) < gossiper.SilentAfter
+		silent = silent || !heard
+		if heard && !h.Fenced && (h.Instance == granter || fencer == allocator.Fencer{}) {
+			fencer = process
+		}
+	}
+	return fencer, silent && fencer != allocator.Fencer{}
+}
+
 func findRelease(releases []allocator.Release, service identifier.Service, s allocator.Segment) (handover string, free bool) {
 	for _, r := range releases {
-		if r.Service == service && r.Range == s.Range && r.Epoch == s.Epoch {
+		if r.Service == service && r.Range == s.Range && r.Epoch == s.Epoch && r.Round == s.Round {
 			return r.Handover, true
 		}
 	}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -65,6 +65,8 @@
 type segmentState struct {
 	seenAt       time.Time
 	movingAt     time.Time
+	round        int
+	roundAt      time.Time
 	misses       int       // Requests that the owner refused since it served one.
 	misdirected  time.Time // Until when the owner is taken not to have the keys.
 	servedLogged bool
@@ -245,6 +247,13 @@
 	for _, s := range a.Segments {
 		key := segmentKey{a.Service, s.Range, s.Epoch}
 		known[key] = true
+		if s.Fence != 0 {
+			fenced := segmentKey{a.Service, s.Range, s.Fence}
+			known[fenced] = true
+			if c.view.segments[fenced] == nil {
+				c.view.segments[fenced] = &segmentState{seenAt: now}
+			}
+		}
 		st, ok := c.view.segments[key]
 		if !ok {
 			st = &segmentState{seenAt: now}
@@ -255,7 +264,8 @@
 		}
 		if s.Moving {
 			moving++
-			if st.movingAt.IsZero() {
+			if st.round != s.Round {
+				st.round, st.roundAt = s.Round, now
 				st.movingAt = now
 			}
 		}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -35,6 +35,9 @@
 	Epoch    identifier.Epoch
 	Hold     time.Duration
 	Handover string
+	// Fencing grants have an epoch that only this process uses, and for one life: it does
+	// no harm if they reach another one.
+	Fencing bool
 }
 
 // Outcome is how an order ended.
@@ -69,6 +72,8 @@
 	// lostAfter is the time without an answer of a server after which its keys are given
 	// up: two renewals and their retries.
 	lostAfter = 1200 * time.Millisecond
+	// fenceHold is the hold of a grant that only makes the owner refuse older ones.
+	fenceHold = 500 * time.Millisecond
 	// lostFor is the time after the last order without an answer in which a server gets
 	// no new keys; then it is tried again.
 	lostFor = 4 * time.Second
@@ -159,6 +164,7 @@
 	May func(identifier.Zone) bool
 	// Life returns the present life of a server; ok is false if it is not registered.
 	Life func(identifier.BackendServer) (registrar.Life, bool)
+	Self allocator.Fencer
 }
 
 // Due returns the orders to send now, and counts them as under way. Each must be
@@ -180,7 +186,16 @@
 			le = &lease{}
 			s.leases[key] = le
 		}
-		if !seg.Moving && !v.May(seg.Zone) {
+		if seg.Moving && seg.Fence != 0 {
+			if seg.Fencer != v.Self {
+				continue
+			}
+			key.epoch = seg.Fence
+			if le, ok = s.leases[key]; !ok {
+				le = &lease{}
+				s.leases[key] = le
+			}
+		} else if !seg.Moving && !v.May(seg.Zone) {
 			continue
 		}
 		if o, ok := l.dueFor(now, s, le, key, seg); ok {
@@ -202,10 +217,18 @@
 
 func (l *Leaser) dueFor(now time.Time, s *server, le *lease, key segmentKey, seg allocator.Segment) (Order, bool) {
 	o := Order{
-		Service: key.service, Server: seg.Owner, Life: seg.Life, Range: seg.Range, Epoch: seg.Epoch,
+		Service: key.service, Server: seg.Owner, Life: seg.Life, Range: seg.Range, Epoch: key.epoch,
 		Hold: l.settings.Hold, Handover: seg.Handover,
 	}
+	fencing := seg.Moving && seg.Fence != 0
 	switch {
+	case fencing && !le.granted:
+		if le.granting || now.Before(le.grantAt) {
+			return Order{}, false
+		}
+		o.Hold, o.Handover, o.Fencing = fenceHold, "", true
+		le.granting = true
+		s.calls = append(s.calls, call{service: key.service, rng: seg.Range, epoch: key.epoch, open: true})
 	case seg.Moving:
 		// A grant under way may be carried out after the release: it is awaited first.
 		if le.released || le.releasing || now.Before(le.releaseAt) || s.openOn(key) {
@@ -307,11 +330,17 @@
 		return "", false // No order has been tried: Due comes first.
 	}
 	key := segmentKey{service, seg.Range, seg.Epoch}
+	if seg.Fence != 0 {
+		key.epoch = seg.Fence
+	}
 	le := s.leases[key]
 	released := le != nil && le.released
+	if seg.Fence != 0 && !released {
+		return "", false
+	}
 	for _, c := range s.calls {
-		if c.service != service || !c.rng.Overlaps(seg.Range) {
-			continue
+		if c.service != service || !c.rng.Overlaps(seg.Range) || c.epoch < seg.Fence {
+			continue // The owner has seen the fence and refuses what is below.
 		}
 		if c.open || now.Before(c.overAt) && !(released && c.answered) {
 			return "", false
