--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -14,10 +14,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/forwarder"
-	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/limiter"
@@ -88,8 +88,6 @@
 	// history, watches that wait hear nothing until they are made anew; this one tells in
 	// time for the bound on configurations.
 	shortWatchWait = 2 * time.Second
-	// settleTime is the time after the start in which the instances hear of each other.
-	settleTime = time.Second
 )
 
 // Conductor is one instance.
@@ -116,8 +114,7 @@
 	scheduler *scheduler.Scheduler
 	splitter  *director.Splitter
 	repeats   map[identifier.Service]*limiter.Repeats
-	leaser    *leaser.Leaser
-	gossip    *gossiper.Gossiper
+	custody   *custodian.Custodian
 	heat      map[identifier.Service]*allocator.Counter
 	crashes   *quarantiner.Quarantiner
 	reported  []crashReport
@@ -129,9 +126,6 @@
 	orders    map[poolKey]*exchanger.Pool
 	verified  map[identifier.BackendServer]verification
 	verifyAt  time.Time // When a list of servers is wanted; zero if none is.
-	relayed   map[identifier.Zone]time.Time
-	joined    map[identifier.Zone]bool
-	fencedAt  map[holderKey]time.Time // When a holder was first seen fenced.
 	leaving   bool
 	warm      bool // Was ready once.
 	peersBusy map[string]bool
@@ -150,12 +144,6 @@
 	asked time.Time
 }
 
-type holderKey struct {
-	zone     identifier.Zone
-	instance identifier.Instance
-	inc      identifier.Incarnation
-}
-
 // New returns an instance that runs nothing yet.
 func New(s Settings, kinds Kinds, codec Codec, store Store, clock func() time.Time, log *logrus.Entry,
 	scope tally.Scope, metrics http.Handler) *Conductor {
@@ -165,18 +153,19 @@
 		mirrors: map[storer.ObjectKind]*mirrorer.Mirror{}, planKick: make(chan struct{}, 1),
 		grantKick: make(chan struct{}, 1), sendKick: make(chan struct{}, 1), startedAt: now,
 		splitter: director.NewSplitter(), repeats: map[identifier.Service]*limiter.Repeats{},
-		leaser: leaser.New(leaser.Settings{Hold: min(grantHold, s.MaxHold), Renew: grantRenew, Authority: grantAuthority}),
-		gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress}),
-		heat:   map[identifier.Service]*allocator.Counter{}, crashes: quarantiner.New(),
+		heat: map[identifier.Service]*allocator.Counter{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
-		verified: map[identifier.BackendServer]verification{}, relayed: map[identifier.Zone]time.Time{},
-		joined: map[identifier.Zone]bool{}, fencedAt: map[holderKey]time.Time{},
+		verified:  map[identifier.BackendServer]verification{},
 		peersBusy: map[string]bool{}, done: make(chan error, 1),
 	}
 	c.view = newView()
+	c.custody = custodian.New(now, custodian.Settings{
+		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress,
+		Leases: leaser.Settings{Hold: min(grantHold, s.MaxHold), Renew: grantRenew, Authority: grantAuthority},
+	}, c.believed)
 	c.scheduler = scheduler.New(s.Zone, c)
 	for _, seed := range s.Seeds {
-		c.gossip.Hint(seed)
+		c.custody.Gossip.Hint(seed)
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
 		wait := watchWait
@@ -191,6 +180,11 @@
 	return c
 }
 
+// believed logs a change of what this instance believes of the custody of keys.
+func (c *Conductor) believed(event string, fields map[string]any) {
+	c.log.WithFields(fields).WithField("Subsystem", "custody").Info(event)
+}
+
 // Done returns the channel on which Run reports its end.
 func (c *Conductor) Done() <-chan error { return c.done }
 
@@ -271,6 +265,7 @@
 func (c *Conductor) drain(front *http.Server) {
 	c.mu.Lock()
 	c.leaving = true
+	c.custody.SetWorld(c.world())
 	c.mu.Unlock()
 	c.log.Info("leaving")
 	kick(c.sendKick)
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -8,12 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/turmericlift/turmericlift/allocator"
 	"github.com/turmericlift/turmericlift/exchanger"
-	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
-	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -34,114 +31,11 @@
 	verifyEvery = 300 * time.Millisecond
 )
 
-// may reports whether this process may grant in a zone now. The caller holds the lock.
-func (c *Conductor) may(now time.Time, zone identifier.Zone) bool {
-	h, ok := c.view.rosters[zone].Find(c.settings.Instance, c.settings.Incarnation)
-	if !ok || h.Fenced || !c.joined[zone] || c.giving(now, zone) {
-		return false
-	}
-	confirmed := c.view.ownAsked
-	if relayed := c.relayed[zone]; relayed.After(confirmed) {
-		confirmed = relayed
-	}
-	return now.Sub(confirmed) < grantAuthority
-}
-
-// self names this process.
-func (c *Conductor) self() allocator.Fencer {
-	return allocator.Fencer{Instance: c.settings.Instance, Incarnation: c.settings.Incarnation}
-}
-
-// giving reports whether another process that is on the roster is to grant in this
-// one's place.
-func (c *Conductor) giving(now time.Time, zone identifier.Zone) bool {
-	to := c.granter(now, zone)
-	if to == c.settings.Instance {
-		return false
-	}
-	p := c.gossip.Peer(to)
-	if p == nil {
-		return false
-	}
-	h, ok := c.view.rosters[zone].Find(to, p.Incarnation)
-	return ok && !h.Fenced
-}
-
-// granter returns the instance that is to grant in a zone: one of the zone if there is
-// one. The caller holds the lock.
-func (c *Conductor) granter(now time.Time, zone identifier.Zone) identifier.Instance {
-	near, far := c.candidates(now, func(z identifier.Zone) bool { return z == zone })
-	if top, ok := ranker.Top("granter "+string(zone), near); ok {
-		return top
-	}
-	top, _ := ranker.Top("granter "+string(zone), far)
-	return top
-}
-
-// planner returns the instance that is to plan.
-func (c *Conductor) planner(now time.Time) identifier.Instance {
-	near, _ := c.candidates(now, func(identifier.Zone) bool { return true })
-	top, _ := ranker.Top("planner", near)
-	return top
-}
-
-// candidates returns the live instances for a task that needs the store: those whose
-// zone fits, and the others. Without an instance that the store answers, all count.
-func (c *Conductor) candidates(now time.Time, fits func(identifier.Zone) bool) (near, far []identifier.Instance) {
-	add := func(p gossiper.State) {
-		switch {
-		case p.Leaving:
-		case fits(p.Zone):
-			near = append(near, p.Instance)
-		default:
-			far = append(far, p.Instance)
-		}
-	}
-	self := gossiper.State{
-		Instance: c.settings.Instance, Zone: c.settings.Zone, Leaving: c.leaving,
-		StoreUp: c.view.storeDownAt.IsZero() && !c.view.ownAsked.IsZero(),
-	}
-	states := []gossiper.State{self}
-	for _, p := range c.gossip.Live(now) {
-		states = append(states, p.State)
-	}
-	for _, s := range states {
-		if s.StoreUp {
-			add(s)
-		}
-	}
-	if len(near) == 0 {
-		for _, s := range states {
-			if !s.StoreUp {
-				add(s)
-			}
-		}
-	}
-	return near, far
-}
-
 // grantLoop sends the orders that are due.
 func (c *Conductor) grantLoop(ctx context.Context) {
 	every(ctx, tickEvery, c.grantKick, func() {
-		now := c.clock()
 		c.mu.Lock()
-		var orders []leaser.Order
-		for _, a := range c.view.allocations {
-			orders = append(orders, c.leaser.Due(now, leaser.View{
-				Allocation: a,
-				Self:       c.self(),
-				Holds:      c.holds,
-				May:        func(zone identifier.Zone) bool { return c.may(now, zone) },
-				Life: func(id identifier.BackendServer) (registrar.Life, bool) {
-					e, ok := c.view.entries[id]
-					return e.Life, ok
-				},
-			})...)
-		}
-		c.leaser.Forget(now, func(service identifier.Service, r identifier.Range, e identifier.Epoch) bool {
-			_, ok := c.view.segments[segmentKey{service, r, e}]
-			return ok
-		})
+		orders := c.custody.Due(c.clock())
 		c.mu.Unlock()
 		for _, o := range orders {
 			c.tasks.Go(func(ctx context.Context) { c.order(ctx, o) })
@@ -154,21 +48,15 @@
 	outcome, handover, err := c.sendOrder(ctx, o)
 	now := c.clock()
 	c.mu.Lock()
-	c.leaser.Ended(now, o, outcome, handover)
-	_, moved := c.view.segments[segmentKey{o.Service, o.Range, o.Epoch}]
-	st := c.view.segments[segmentKey{o.Service, o.Range, o.Epoch}]
-	first := st != nil && !st.servedLogged && outcome == leaser.Accepted && o.Kind == leaser.Grant
-	if first {
-		st.servedLogged = true
-	}
+	first := c.custody.Ended(now, o, outcome, handover)
 	c.mu.Unlock()
 	if o.Kind == leaser.Release && outcome == leaser.Accepted {
 		kick(c.planKick)
 		kick(c.sendKick)
 	}
 	if first || o.Kind == leaser.Release || outcome == leaser.Refused || outcome == leaser.Unknown {
-		c.log.WithFields(logrus.Fields{"Subsystem": "granting", "Kind": o.Kind, "Server": o.Server, "Life": o.Life, "Range": o.Range.String(),
-			"Epoch": o.Epoch, "Outcome": outcome, "Handover": handover != "", "Known": moved, "Error": err}).Info("order")
+		c.log.WithFields(logrus.Fields{"Subsystem": "granting", "Kind": o.Kind.String(), "Server": o.Server, "Life": o.Life, "Range": o.Range.String(),
+			"Epoch": o.Epoch, "Outcome": outcome.String(), "Handover": handover != "", "Error": err}).Info("order")
 	}
 	c.scope.Tagged(map[string]string{"Outcome": outcome.String()}).Counter("Orders").Inc(1)
 }
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -52,9 +52,9 @@
 		now := c.clock()
 		c.mu.Lock()
 		c.scheduler.Heard(c.othersRunning(now))
-		state := c.gossip.Compose(now, c.state(now))
-		targets := c.gossip.Targets(now)
-		planner := c.planner(now)
+		state := c.custody.Gossip.Compose(now, c.state(now))
+		targets := c.custody.Gossip.Targets(now)
+		planner := c.custody.Planner(now)
 		withHeat := now.Sub(heatAt) >= heatEvery
 		var heat map[identifier.Service]allocator.Sketch
 		if withHeat && planner != c.settings.Instance {
@@ -62,10 +62,10 @@
 			heat = c.sketches(now)
 		}
 		plannerAddress := ""
-		if p := c.gossip.Peer(planner); p != nil {
+		if p := c.custody.Gossip.Peer(planner); p != nil {
 			plannerAddress = p.Address
 		}
-		for _, p := range c.gossip.Silent(now) {
+		for _, p := range c.custody.Gossip.Silent(now) {
 			c.tasks.Go(func(context.Context) { c.transport.Drop(p) })
 		}
 		c.mu.Unlock()
@@ -115,22 +115,9 @@
 
 // state returns what this instance tells the others. The caller holds the lock.
 func (c *Conductor) state(now time.Time) gossiper.State {
-	s := gossiper.State{Leaving: c.leaving, StoreUp: c.view.storeDownAt.IsZero() && !c.view.ownAsked.IsZero()}
-	for zone, r := range c.view.rosters {
-		s.Confirmed = append(s.Confirmed, gossiper.Confirmation{
-			Zone: zone, Version: r.Version, AgeMs: now.Sub(c.view.ownAsked).Milliseconds() + 1,
-		})
-		if _, ok := r.Find(c.settings.Instance, c.settings.Incarnation); !ok {
-			continue
-		}
-		for _, e := range c.view.entries {
-			if e.Zone == zone && c.leaser.Lost(now, e.ID, e.Life) {
-				s.Lost = append(s.Lost, gossiper.LostServer{Server: e.ID, Life: e.Life})
-			}
-		}
-	}
-	s.Releases = c.releases(now)
-	s.Newest, s.Objects, s.Deltas = c.view.newest, c.pushed, c.deltas
+	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp()}
+	s.Confirmed, s.Releases, s.Lost = c.custody.Confirmations(now), c.custody.Releases(now), c.custody.Lost(now)
+	s.Newest, s.Objects, s.Deltas = c.custody.Newest(), c.pushed, c.deltas
 	c.pushed, c.deltas = nil, nil
 	s.Running = c.scheduler.Running()
 	kept := c.reported[:0]
@@ -147,7 +134,7 @@
 // othersRunning returns the requests that the other instances have at each server.
 func (c *Conductor) othersRunning(now time.Time) map[identifier.BackendServer]int {
 	sum := map[identifier.BackendServer]int{}
-	for _, p := range c.gossip.Live(now) {
+	for _, p := range c.custody.Gossip.Live(now) {
 		for id, n := range p.Running {
 			sum[id] += n
 		}
@@ -155,28 +142,6 @@
 	return sum
 }
 
-// releases returns the moving segments on which nothing of this instance is in force.
-func (c *Conductor) releases(now time.Time) []allocator.Release {
-	var releases []allocator.Release
-	for service, a := range c.view.allocations {
-		for _, seg := range a.Segments {
-			if !seg.Moving || !c.holds(seg.Zone) || seg.Fence != 0 && seg.Fencer != c.self() {
-				continue
-			}
-			if handover, free := c.leaser.Free(now, service, seg); free {
-				releases = append(releases, allocator.Release{Service: service, Range: seg.Range, Epoch: seg.Epoch, Round: seg.Round, Handover: handover})
-			}
-		}
-	}
-	return releases
-}
-
-// holds reports whether this process is on a zone's roster, fenced or not.
-func (c *Conductor) holds(zone identifier.Zone) bool {
-	_, ok := c.view.rosters[zone].Find(c.settings.Instance, c.settings.Incarnation)
-	return ok
-}
-
 func (c *Conductor) sketches(now time.Time) map[identifier.Service]allocator.Sketch {
 	sketches := map[identifier.Service]allocator.Sketch{}
 	for service, counter := range c.heat {
@@ -194,16 +159,16 @@
 	}
 	now := c.clock()
 	c.mu.Lock()
-	old := c.gossip.Peer(s.Instance)
+	old := c.custody.Gossip.Peer(s.Instance)
 	heat := s.Heat
 	if heat == nil && old != nil && old.Incarnation == s.Incarnation {
 		s.Heat = old.Heat // It comes with some states only.
 	}
-	if !c.gossip.Heard(now, s) {
+	if !c.custody.Heard(now, s) {
 		c.mu.Unlock()
 		return
 	}
-	p := c.gossip.Peer(s.Instance)
+	p := c.custody.Gossip.Peer(s.Instance)
 	if old != nil && old.Incarnation != s.Incarnation {
 		// Connections to the process before lead nowhere.
 		c.tasks.Go(func(context.Context) { c.transport.Drop(s.Address) })
@@ -215,10 +180,9 @@
 	for _, crash := range s.Crashes {
 		c.crashes.Crashed(now, crash)
 	}
-	c.relay(p)
 	wakes := len(s.Releases) > 0
-	objects := append(s.Objects, c.applied(s.Deltas)...)
-	if s.Newest <= c.view.newest {
+	objects := append(s.Objects, c.custody.Apply(s.Deltas)...)
+	if s.Newest <= c.custody.Newest() {
 		c.behindAt = time.Time{}
 	} else if c.behindAt.IsZero() {
 		c.behindAt = now
@@ -232,52 +196,6 @@
 	}
 }
 
-// applied returns the allocations that deltas lead to. One whose base is not known here
-// is left to a later copy.
-func (c *Conductor) applied(deltas []allocator.Delta) []storer.Object {
-	var objects []storer.Object
-	next := map[identifier.Service]*allocator.Allocation{}
-	for _, d := range deltas {
-		base, ok := next[d.Service]
-		if !ok {
-			base = c.view.allocations[d.Service]
-		}
-		if base != nil && base.Version >= d.Version {
-			continue
-		}
-		a, err := allocator.Apply(base, d)
-		if err != nil {
-			c.log.WithFields(logrus.Fields{"Service": d.Service, "Version": d.Version, "Error": err}).Info("allocation's change does not fit")
-			continue
-		}
-		data, err := a.Encode()
-		if err != nil {
-			c.log.WithField("Error", err).Error("allocation does not encode")
-			continue
-		}
-		next[d.Service] = a
-		objects = append(objects, storer.Object{Name: allocationPrefix + string(d.Service), Version: d.Version, Data: data})
-	}
-	return objects
-}
-
-// relay takes the confirmations of a peer that the store answers for this instance's
-// own: they are as good as if this instance had asked at the time after which the state
-// was made, less their age.
-func (c *Conductor) relay(p *gossiper.Peer) {
-	if p.MadeAfter.IsZero() {
-		return
-	}
-	for _, confirmed := range p.Confirmed {
-		if r, ok := c.view.rosters[confirmed.Zone]; ok && r.Version == confirmed.Version {
-			asked := p.MadeAfter.Add(-time.Duration(confirmed.AgeMs) * time.Millisecond)
-			if asked.After(c.relayed[confirmed.Zone]) {
-				c.relayed[confirmed.Zone] = asked
-			}
-		}
-	}
-}
-
 // copyRequest asks for copies that are newer than the ones named.
 type copyRequest struct {
 	Revisions map[storer.ObjectKind]identifier.Version
@@ -318,7 +236,7 @@
 		c.mu.Lock()
 		behind := !c.behindAt.IsZero() && now.Sub(c.behindAt) >= copyEvery/2
 		down := !c.view.storeDownAt.IsZero() || c.view.table == nil || behind
-		targets := c.gossip.Targets(now)
+		targets := c.custody.Gossip.Targets(now)
 		c.mu.Unlock()
 		if !down || len(targets) == 0 {
 			return
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -97,7 +97,7 @@
 	defer c.mu.Unlock()
 	c.scheduler.Done(now, e.ID, e.Life, r)
 	if r.Outcome == scheduler.Answered || r.Outcome == scheduler.Shed {
-		c.leaser.Answered(now, e.ID, e.Life)
+		c.custody.Leases.Answered(now, e.ID, e.Life)
 	}
 }
 
@@ -106,32 +106,14 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if st := c.segmentAt(e, service, key); st != nil {
-		st.misdirected = now.Add(min(missTime<<min(st.misses, 10), missTimeMost))
-		st.misses++
-	}
+	c.custody.Misdirected(now, e, service, key)
 }
 
 // Owned implements forwarder.Core.
 func (c *Conductor) Owned(e registrar.Entry, service identifier.Service, key identifier.Point) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if st := c.segmentAt(e, service, key); st != nil && st.misses > 0 {
-		st.misses, st.misdirected = 0, time.Time{}
-	}
-}
-
-// segmentAt returns the state of a key's segment if the server owns it.
-func (c *Conductor) segmentAt(e registrar.Entry, service identifier.Service, key identifier.Point) *segmentState {
-	a := c.view.allocations[service]
-	if a == nil {
-		return nil
-	}
-	s := a.Find(key)
-	if s.Owner != e.ID || s.Life != e.Life {
-		return nil
-	}
-	return c.view.segments[segmentKey{service, s.Range, s.Epoch}]
+	c.custody.Owned(e, service, key)
 }
 
 // MayRepeat implements forwarder.Core.
@@ -140,7 +122,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	repeats := c.repeats[service]
-	return repeats != nil && repeats.Take(now, c.gossip.Count(now))
+	return repeats != nil && repeats.Take(now, c.custody.Gossip.Count(now))
 }
 
 // Quarantined implements forwarder.Core.
@@ -216,14 +198,14 @@
 	if c.view.table != nil {
 		fmt.Fprintf(w, "Config version %d\n", c.view.table.Version)
 	}
-	fmt.Fprintf(w, "Store up %t, own objects asked %s ago\n", c.view.storeDownAt.IsZero(), now.Sub(c.view.ownAsked).Round(time.Millisecond))
-	for _, p := range c.gossip.Live(now) {
+	fmt.Fprintf(w, "Store up %t, own objects asked %s ago\n", c.view.storeDownAt.IsZero(), now.Sub(c.custody.Asked()).Round(time.Millisecond))
+	for _, p := range c.custody.Gossip.Live(now) {
 		fmt.Fprintf(w, "Peer %s incarnation %d zone %s heard %s ago\n", p.Instance, p.Incarnation, p.Zone, now.Sub(p.HeardAt).Round(time.Millisecond))
 	}
-	for zone, r := range c.view.rosters {
-		fmt.Fprintf(w, "Roster %s version %d holders %v may grant %t\n", zone, r.Version, r.Holders, c.may(now, zone))
+	for zone, r := range c.custody.Rosters() {
+		fmt.Fprintf(w, "Roster %s version %d holders %v may grant %t\n", zone, r.Version, r.Holders, c.custody.May(now, zone))
 	}
-	for service, a := range c.view.allocations {
+	for service, a := range c.custody.Allocations() {
 		fmt.Fprintf(w, "Allocation %s version %d next epoch %d\n", service, a.Version, a.NextEpoch)
 		for _, s := range a.Segments {
 			fmt.Fprintf(w, "  %s owner %s life %d epoch %d moving %t\n", s.Range, s.Owner, s.Life, s.Epoch, s.Moving)
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -10,22 +10,18 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/identifier"
-	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/limiter"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/scheduler"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
-// Names of the system's own objects.
-const (
-	allocationPrefix = "allocation."
-	rosterPrefix     = "roster."
-	memberPrefix     = "member."
-)
+// memberPrefix starts the names of the objects by which instances find each other.
+const memberPrefix = "member."
 
 // view is what the mirrors say, decoded.
 type view struct {
@@ -36,10 +32,7 @@
 	removed     map[identifier.BackendServer]time.Time // Entries that may come back: until when they hold.
 	evacuated   map[identifier.Zone]bool
 	coldTill    map[identifier.Zone]time.Time // Of zones that came back from an evacuation.
-	allocations map[identifier.Service]*allocator.Allocation
-	rosters     map[identifier.Zone]leaser.Roster
-	segments    map[segmentKey]*segmentState
-	entriesAt   time.Time // When a new backend server was seen last.
+	entriesAt   time.Time                     // When a new backend server was seen last.
 	heat        map[identifier.Service]*allocator.Heat
 	newest      identifier.Version // Of the system's own objects.
 	ownAsked    time.Time          // When the newest list of the system's own objects was asked for.
@@ -55,29 +48,11 @@
 	coldTill time.Time
 }
 
-type segmentKey struct {
-	service identifier.Service
-	rng     identifier.Range
-	epoch   identifier.Epoch
-}
-
-// segmentState is what this instance knows of a segment beyond the allocation.
-type segmentState struct {
-	seenAt       time.Time
-	movingAt     time.Time
-	round        int
-	roundAt      time.Time
-	misses       int       // Requests that the owner refused since it served one.
-	misdirected  time.Time // Until when the owner is taken not to have the keys.
-	servedLogged bool
-}
-
 func newView() view {
 	return view{
 		entries: map[identifier.BackendServer]registrar.Entry{}, seen: map[identifier.BackendServer]seenEntry{},
 		removed: map[identifier.BackendServer]time.Time{}, evacuated: map[identifier.Zone]bool{},
-		coldTill: map[identifier.Zone]time.Time{}, allocations: map[identifier.Service]*allocator.Allocation{},
-		rosters: map[identifier.Zone]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
+		coldTill:   map[identifier.Zone]time.Time{},
 		heat:       map[identifier.Service]*allocator.Heat{},
 		badEntries: map[string]identifier.Version{},
 	}
@@ -205,107 +180,21 @@
 }
 
 func (c *Conductor) readOwn(now time.Time, objects []storer.Object, asked time.Time) {
-	if asked.After(c.view.ownAsked) {
-		c.view.ownAsked = asked
-	}
+	c.custody.Take(now, objects, asked)
 	var members []string
 	for _, o := range objects {
-		c.view.newest = max(c.view.newest, o.Version)
-		switch {
-		case strings.HasPrefix(o.Name, allocationPrefix):
-			c.readAllocation(now, o)
-		case strings.HasPrefix(o.Name, rosterPrefix):
-			r, err := leaser.DecodeRoster(o.Data, o.Version)
-			if err != nil {
-				c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Error("roster does not decode")
-				continue
-			}
-			c.readRoster(now, r)
-		case strings.HasPrefix(o.Name, memberPrefix):
-			if m, err := decodeMember(o.Data); err == nil {
-				members = append(members, m.Address)
-			}
-		}
-	}
-	sort.Strings(members)
-	c.gossip.ReplaceHints(append(members, c.settings.Seeds...))
-}
-
-func (c *Conductor) readAllocation(now time.Time, o storer.Object) {
-	service := identifier.Service(strings.TrimPrefix(o.Name, allocationPrefix))
-	if old := c.view.allocations[service]; old != nil && old.Version >= o.Version {
-		return
-	}
-	a, err := allocator.Decode(o.Data, o.Version)
-	if err != nil {
-		c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Error("allocation does not decode")
-		return
-	}
-	c.view.allocations[a.Service] = a
-	known := map[segmentKey]bool{}
-	moving := 0
-	for _, s := range a.Segments {
-		key := segmentKey{a.Service, s.Range, s.Epoch}
-		known[key] = true
-		if s.Fence != 0 {
-			fenced := segmentKey{a.Service, s.Range, s.Fence}
-			known[fenced] = true
-			if c.view.segments[fenced] == nil {
-				c.view.segments[fenced] = &segmentState{seenAt: now}
-			}
-		}
-		st, ok := c.view.segments[key]
-		if !ok {
-			st = &segmentState{seenAt: now}
-			if part := c.partOf(a.Service, s); part != nil {
-				st.seenAt = part.seenAt
-			}
-			c.view.segments[key] = st
-		}
-		if s.Moving {
-			moving++
-			if st.round != s.Round {
-				st.round, st.roundAt = s.Round, now
-				st.movingAt = now
-			}
-		}
-	}
-	for key := range c.view.segments {
-		if key.service == a.Service && !known[key] {
-			delete(c.view.segments, key)
-		}
-	}
-	c.log.WithFields(logrus.Fields{"Service": a.Service, "Version": a.Version, "Segments": len(a.Segments),
-		"Moving": moving, "NextEpoch": a.NextEpoch}).Info("allocation")
-}
-
-// partOf returns the state of the segment that a new one was cut from.
-func (c *Conductor) partOf(service identifier.Service, s allocator.Segment) *segmentState {
-	for key, st := range c.view.segments {
-		if key.service == service && key.epoch == s.Epoch && key.rng.Overlaps(s.Range) {
-			return st
+		if !strings.HasPrefix(o.Name, memberPrefix) {
+			continue
 		}
-	}
-	return nil
-}
-
-func (c *Conductor) readRoster(now time.Time, r leaser.Roster) {
-	if old, ok := c.view.rosters[r.Zone]; ok && old.Version >= r.Version {
-		return
-	}
-	c.view.rosters[r.Zone] = r
-	for _, h := range r.Holders {
-		key := holderKey{r.Zone, h.Instance, h.Incarnation}
-		if _, ok := c.fencedAt[key]; h.Fenced && !ok {
-			c.fencedAt[key] = now
-		} else if !h.Fenced {
-			delete(c.fencedAt, key)
+		m, err := decodeMember(o.Data)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("member does not decode")
+			continue
 		}
+		members = append(members, m.Address)
 	}
-	if h, ok := r.Find(c.settings.Instance, c.settings.Incarnation); !ok || h.Fenced {
-		delete(c.joined, r.Zone)
-	}
-	c.log.WithFields(logrus.Fields{"Zone": r.Zone, "Version": r.Version, "Holders": r.Holders}).Info("roster")
+	sort.Strings(members)
+	c.custody.Gossip.ReplaceHints(append(members, c.settings.Seeds...))
 }
 
 // coldUntil returns until when a backend server counts as cold.
@@ -319,10 +208,25 @@
 	return till
 }
 
+// world returns what custody depends on.
+func (c *Conductor) world() custodian.World {
+	w := custodian.World{
+		Entries: c.view.entries, Keyed: map[identifier.Service]bool{}, StoreUp: c.view.storeDownAt.IsZero(),
+		StoreUpAt: c.view.storeUpAt, Leaving: c.leaving,
+	}
+	if c.view.table != nil {
+		for name, s := range c.view.table.Services {
+			w.Keyed[name] = s.Keyed
+		}
+	}
+	return w
+}
+
 // refresh passes the view on to what decides from it.
 func (c *Conductor) refresh(now time.Time) {
-	count := c.gossip.Count(now)
+	count := c.custody.Gossip.Count(now)
 	c.scheduler.SetInstances(count)
+	c.custody.SetWorld(c.world())
 	if c.view.table == nil {
 		return
 	}
@@ -371,49 +275,9 @@
 
 // Owner implements scheduler.Owners. The caller holds the lock.
 func (c *Conductor) Owner(now time.Time, service identifier.Service, key identifier.Point) scheduler.Ownership {
-	a := c.view.allocations[service]
-	if a == nil {
-		return scheduler.Ownership{}
-	}
-	s := a.Find(key)
-	st := c.view.segments[segmentKey{service, s.Range, s.Epoch}]
-	own := scheduler.Ownership{Server: s.Owner, Life: s.Life}
-	switch {
-	case s.Owner == "" || st == nil:
-	case s.Moving:
-		own.ReadyAt = st.movingAt.Add(moveTime)
-		if now.After(own.ReadyAt.Add(moveTime)) {
-			own.ReadyAt = time.Time{} // It takes longer than work takes to end: a grant has to lapse.
-		}
-	case now.Before(st.misdirected):
-		own.ReadyAt = st.misdirected
-	case now.Before(st.seenAt.Add(grantTime)):
-		own.ReadyAt = st.seenAt.Add(grantTime)
-	default:
-		own.Ready = true
-		if st.misses > 0 {
-			st.misdirected = now.Add(probeTime) // One request asks for all.
-		}
-	}
-	return own
+	return scheduler.Ownership(c.custody.Owner(now, service, key))
 }
 
-const (
-	// moveTime is about the time that a move takes: the work that runs on the keys ends.
-	moveTime = 300 * time.Millisecond
-	// grantTime is about the time from an allocation's arrival here to the grant's arrival
-	// at the owner.
-	grantTime = 20 * time.Millisecond
-	// missTime is the time after a first refusal by an owner in which it is not asked for
-	// keys of the segment; it doubles with each further one.
-	missTime = 40 * time.Millisecond
-	// missTimeMost bounds that time.
-	missTimeMost = 640 * time.Millisecond
-	// probeTime is the time in which one request finds out for the others whether an owner
-	// that refused has the keys by now.
-	probeTime = 100 * time.Millisecond
-)
-
 // storeEnded takes in the end of a call to the platform's store.
 func (c *Conductor) storeEnded(kind storer.ObjectKind, err error) {
 	c.mu.Lock()
@@ -433,6 +297,7 @@
 	}
 	if c.view.storeDownAt.IsZero() {
 		c.view.storeDownAt = c.clock()
+		c.custody.SetWorld(c.world())
 		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store does not answer")
 	}
 }
@@ -447,6 +312,7 @@
 		c.log.WithField("Ms", lasted.Milliseconds()).Info("platform's store answers again")
 	}
 	c.view.storeDownAt = time.Time{}
+	c.custody.SetWorld(c.world())
 }
 
 const (
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -290,10 +290,10 @@
 		le.acceptedAt = now
 		le.grantAt = now.Add(l.settings.Renew)
 	}
-	l.endCall(now, s, key, outcome)
+	l.endCall(now, s, key, outcome, o.Hold)
 }
 
-func (l *Leaser) endCall(now time.Time, s *server, key segmentKey, outcome Outcome) {
+func (l *Leaser) endCall(now time.Time, s *server, key segmentKey, outcome Outcome, hold time.Duration) {
 	kept := s.calls[:0]
 	ended := false
 	for _, c := range s.calls {
@@ -304,7 +304,7 @@
 			}
 			c.open = false
 			c.answered = outcome == Accepted
-			c.overAt = now.Add(l.longest())
+			c.overAt = now.Add(longest(hold))
 		} else if !c.open && !now.Before(c.overAt) {
 			continue
 		}
@@ -313,13 +313,13 @@
 	s.calls = kept
 }
 
-// longest is the time after its arrival in which a grant is over.
-func (l *Leaser) longest() time.Duration { return l.settings.Longest() }
+// longest is the time after its arrival in which a grant with a hold is over.
+func longest(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*ClockFactor) + margin
+}
 
 // Longest is the time after its arrival in which a grant is over.
-func (s Settings) Longest() time.Duration {
-	return time.Duration(float64(s.Hold)*ClockFactor) + margin
-}
+func (s Settings) Longest() time.Duration { return longest(s.Hold) }
 
 // Free reports whether nothing that this process granted on a segment is in force, and
 // the handover if the owner gave one. After it, no grant of these keys is sent under
