leaser: a release ends only the grants that were answered before it was sent

A process that had released the key under its first epoch granted it once more as fencer, and when the way changed back its old release was taken to end the newer grant too. Change: a release ends the grants of its epoch and below that were answered before it was sent.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -160,7 +160,7 @@
 	Input
 	next    *Allocation
 	changed bool
-	load    map[identifier.BackendServer]float64 // Of usable servers: requests a second on their keys.
+	load    map[identifier.BackendServer]float64 // Of usable servers: the weight of their keys.
 }
 
 func newPlan(a *Allocation, in Input) *plan {
@@ -180,7 +180,7 @@
 	p.next = &next
 	for _, s := range next.Segments {
 		if _, ok := p.load[s.Owner]; ok && !s.Moving {
-			p.load[s.Owner] += in.Heat.Rate(s.Range)
+			p.load[s.Owner] += p.weight(s.Range)
 		}
 	}
 	return p
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -55,7 +55,7 @@
 	}
 	r := p.next.Segments[best].Range
 	cut := p.cut(r, p.weight(r)/2)
-	p.load[from] = max(p.load[from]-p.Heat.Rate(cut), 0)
+	p.load[from] -= p.weight(cut)
 	p.carve(best, cut)
 	p.changed = true
 	return true
@@ -88,21 +88,10 @@
 
 func (p *plan) use(id identifier.BackendServer) float64 { return p.load[id] / p.Servers[id].Capacity }
 
-// fullest returns the server with the most load per capacity, or keys if there is no load.
-func (p *plan) fullest() (best identifier.BackendServer) {
-	weights := map[identifier.BackendServer]float64{}
-	for _, s := range p.next.Segments {
-		if !s.Moving {
-			weights[s.Owner] += p.weight(s.Range)
-		}
-	}
-	for id := range p.load {
-		w := weights[id] / p.Servers[id].Capacity
-		if best == "" || w > weights[best]/p.Servers[best].Capacity || w == weights[best]/p.Servers[best].Capacity && id < best {
-			best = id
-		}
-	}
-	return best
+// fullest returns the server that is used most.
+func (p *plan) fullest() identifier.BackendServer {
+	servers, _ := p.byUse()
+	return servers[len(servers)-1]
 }
 
 func (p *plan) byUse() (servers []identifier.BackendServer, mean float64) {
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -50,6 +50,9 @@
 	c.mu.Lock()
 	first := c.custody.Ended(now, o, outcome, handover)
 	c.mu.Unlock()
+	if o.Kind == leaser.Grant && outcome == leaser.Accepted && o.Fencing {
+		kick(c.grantKick)
+	}
 	if o.Kind == leaser.Release && outcome == leaser.Accepted {
 		kick(c.planKick)
 		kick(c.sendKick)
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -89,8 +90,12 @@
 // StoreUp reports whether the store answers and this instance knows the shared objects.
 func (c *Custodian) StoreUp() bool { return c.world.StoreUp && !c.asked.IsZero() }
 
-// RosterChanges returns the rosters that this process is to write now.
+// RosterChanges returns the rosters that this process is to write now: none before it
+// has had time to hear of the others.
 func (c *Custodian) RosterChanges(now time.Time) []leaser.Roster {
+	if now.Sub(c.startedAt) < SettleTime {
+		return nil
+	}
 	zones := map[identifier.Zone]bool{}
 	for _, e := range c.world.Entries {
 		if c.world.Keyed[e.Service] {
@@ -117,12 +122,13 @@
 	r.Zone = zone
 	mine, on := c.mine(zone)
 	wanted := c.Granter(now, zone) == c.settings.Instance
+	silent := func(h leaser.Holder) bool {
+		p := c.Gossip.Peer(h.Instance)
+		return h.Instance != c.settings.Instance && !h.Fenced && (p == nil || now.Sub(p.HeardAt) >= silentTime)
+	}
 	switch {
-	case wanted && (!on || mine.Fenced):
-		return r.Join(c.settings.Instance, c.settings.Incarnation, func(h leaser.Holder) bool {
-			p := c.Gossip.Peer(h.Instance)
-			return h.Instance != c.settings.Instance && (p == nil || now.Sub(p.HeardAt) >= silentTime)
-		}), true
+	case wanted && (!on || mine.Fenced || slices.ContainsFunc(r.Holders, silent)):
+		return r.Join(c.settings.Instance, c.settings.Incarnation, silent), true
 	case !wanted && on && (mine.Fenced || c.giving(now, zone)) && c.Leases.Idle(now, zone):
 		return r.Without(func(h leaser.Holder) bool { return h == mine }), true
 	case wanted && on:
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -68,7 +68,7 @@
 	// retryAfter is the time after which an order that failed is sent again.
 	retryAfter = 100 * time.Millisecond
 	// mostOpen bounds the orders under way to one server.
-	mostOpen = 4
+	mostOpen = 8
 	// lostAfter is the time without an answer of a server after which its keys are given
 	// up: two renewals and their retries.
 	lostAfter = 1200 * time.Millisecond
@@ -94,7 +94,8 @@
 	rng      identifier.Range
 	epoch    identifier.Epoch
 	open     bool // No outcome yet.
-	answered bool // A release that is sent later ends it.
+	answered bool // A release of its epoch or a later one that is sent after endedAt ends it.
+	endedAt  time.Time
 	overAt   time.Time
 }
 
@@ -106,6 +107,7 @@
 	releasing  bool
 	releaseAt  time.Time // When the next release is due.
 	released   bool
+	releasedAt time.Time // When the accepted release was sent.
 	handover   string
 	acceptedAt time.Time
 }
@@ -235,7 +237,7 @@
 			return Order{}, false
 		}
 		o.Kind = Release
-		le.releasing = true
+		le.releasing, le.releasedAt = true, now
 	default:
 		if le.granting || now.Before(le.grantAt) || s.open >= mostOpen {
 			return Order{}, false
@@ -304,7 +306,7 @@
 			}
 			c.open = false
 			c.answered = outcome == Accepted
-			c.overAt = now.Add(longest(hold))
+			c.endedAt, c.overAt = now, now.Add(longest(hold))
 		} else if !c.open && !now.Before(c.overAt) {
 			continue
 		}
@@ -342,7 +344,8 @@
 		if c.service != service || !c.rng.Overlaps(seg.Range) || c.epoch < seg.Fence {
 			continue // The owner has seen the fence and refuses what is below.
 		}
-		if c.open || now.Before(c.overAt) && !(released && c.answered) {
+		ended := released && c.answered && c.epoch <= key.epoch && !c.endedAt.After(le.releasedAt)
+		if c.open || now.Before(c.overAt) && !ended {
 			return "", false
 		}
 	}
