--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -106,7 +106,7 @@
 }
 
 // usable reports whether the server may own keys.
-func (s Server) usable() bool { return !s.Excluded && !s.Lost && s.Entry.Usable() }
+func (s Server) usable() bool { return !s.Excluded && !s.Lost && s.Usable() }
 
 // Release says that a granter has nothing more in force on keys of an owner.
 type Release struct {
@@ -214,7 +214,7 @@
 		if ok && owner.usable() && owner.Life == s.Life {
 			continue
 		}
-		leaving := ok && (owner.Excluded || !owner.Entry.Usable() || owner.Life != s.Life)
+		leaving := ok && (owner.Excluded || !owner.Usable() || owner.Life != s.Life)
 		if !leaving && !p.Steady(s.Zone) {
 			continue
 		}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -157,43 +157,51 @@
 		c.log.WithField("Error", err).Warning("state of another instance does not decode")
 		return
 	}
-	now := c.clock()
 	c.mu.Lock()
-	old := c.custody.Gossip.Peer(s.Instance)
-	heat := s.Heat
-	if heat == nil && old != nil && old.Incarnation == s.Incarnation {
-		s.Heat = old.Heat // It comes with some states only.
+	news := c.hear(c.clock(), s)
+	objects := s.Objects
+	if news {
+		objects = append(objects, c.custody.Apply(s.Deltas)...)
+	}
+	c.mu.Unlock()
+	if len(objects) > 0 {
+		c.mirrors[c.kinds.Own].Merge(objects)
+	}
+	if news && len(s.Releases) > 0 {
+		kick(c.planKick)
+	}
+}
+
+// hear takes in a state and reports whether it is news. The caller holds the lock.
+func (c *Conductor) hear(now time.Time, s gossiper.State) bool {
+	var before gossiper.Peer
+	if old := c.custody.Gossip.Peer(s.Instance); old != nil {
+		before = *old
+	}
+	same := before.Incarnation == s.Incarnation
+	if s.Heat == nil && same {
+		s.Heat = before.Heat // It comes with some states only.
 	}
 	if !c.custody.Heard(now, s) {
-		c.mu.Unlock()
-		return
+		return false
 	}
-	p := c.custody.Gossip.Peer(s.Instance)
-	if old != nil && old.Incarnation != s.Incarnation {
+	if before.Incarnation != 0 && !same {
 		// Connections to the process before lead nowhere.
 		c.tasks.Go(func(context.Context) { c.transport.Drop(s.Address) })
 	}
-	if old == nil || old.Incarnation != s.Incarnation || old.Leaving != s.Leaving || p.HeardSince.Equal(now) {
+	if !same || before.Leaving != s.Leaving || c.custody.Gossip.Peer(s.Instance).HeardSince.Equal(now) {
 		c.log.WithFields(logrus.Fields{"Peer": s.Instance, "PeerIncarnation": s.Incarnation, "Zone": s.Zone, "Leaving": s.Leaving, "StoreUp": s.StoreUp}).Info("instance is heard")
 		c.refresh(now)
 	}
 	for _, crash := range s.Crashes {
 		c.crashes.Crashed(now, crash)
 	}
-	wakes := len(s.Releases) > 0
-	objects := append(s.Objects, c.custody.Apply(s.Deltas)...)
 	if s.Newest <= c.custody.Newest() {
 		c.behindAt = time.Time{}
 	} else if c.behindAt.IsZero() {
 		c.behindAt = now
 	}
-	c.mu.Unlock()
-	if len(objects) > 0 {
-		c.mirrors[c.kinds.Own].Merge(objects)
-	}
-	if wakes {
-		kick(c.planKick)
-	}
+	return true
 }
 
 // copyRequest asks for copies that are newer than the ones named.
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -191,35 +193,43 @@
 
 // serveDump writes this process's state as text.
 func (c *Conductor) serveDump(w http.ResponseWriter, _ *http.Request) {
-	now := c.clock()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	fmt.Fprintf(w, "Instance %s incarnation %d zone %s leaving %t\n", c.settings.Instance, c.settings.Incarnation, c.settings.Zone, c.leaving)
+	dump := c.dump(c.clock())
+	c.mu.Unlock()
+	_, _ = io.WriteString(w, dump) // Whoever asked has left.
+}
+
+// dump returns this process's state. The caller holds the lock.
+func (c *Conductor) dump(now time.Time) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { b.WriteString(fmt.Sprintf(format, args...) + "\n") }
+	line("Instance %s incarnation %d zone %s leaving %t", c.settings.Instance, c.settings.Incarnation, c.settings.Zone, c.leaving)
 	if c.view.table != nil {
-		fmt.Fprintf(w, "Config version %d\n", c.view.table.Version)
+		line("Config version %d", c.view.table.Version)
 	}
-	fmt.Fprintf(w, "Store up %t, own objects asked %s ago\n", c.view.storeDownAt.IsZero(), now.Sub(c.custody.Asked()).Round(time.Millisecond))
+	line("Store up %t, shared objects asked for %s ago", c.view.storeDownAt.IsZero(), now.Sub(c.custody.Asked()).Round(time.Millisecond))
 	for _, p := range c.custody.Gossip.Live(now) {
-		fmt.Fprintf(w, "Peer %s incarnation %d zone %s heard %s ago\n", p.Instance, p.Incarnation, p.Zone, now.Sub(p.HeardAt).Round(time.Millisecond))
+		line("Peer %s incarnation %d zone %s heard %s ago", p.Instance, p.Incarnation, p.Zone, now.Sub(p.HeardAt).Round(time.Millisecond))
 	}
 	for zone, r := range c.custody.Rosters() {
-		fmt.Fprintf(w, "Roster %s version %d holders %v may grant %t\n", zone, r.Version, r.Holders, c.custody.May(now, zone))
+		line("Roster %s version %d holders %v may grant %t", zone, r.Version, r.Holders, c.custody.May(now, zone))
 	}
 	for service, a := range c.custody.Allocations() {
-		fmt.Fprintf(w, "Allocation %s version %d next epoch %d\n", service, a.Version, a.NextEpoch)
+		line("Allocation %s version %d next epoch %d", service, a.Version, a.NextEpoch)
 		for _, s := range a.Segments {
-			fmt.Fprintf(w, "  %s owner %s life %d epoch %d moving %t\n", s.Range, s.Owner, s.Life, s.Epoch, s.Moving)
+			line("  %s owner %s life %d epoch %d moving %t", s.Range, s.Owner, s.Life, s.Epoch, s.Moving)
 		}
 	}
+	running := c.scheduler.Running()
 	ids := make([]string, 0, len(c.view.entries))
 	for id := range c.view.entries {
 		ids = append(ids, string(id))
 	}
 	sort.Strings(ids)
-	running := c.scheduler.Running()
 	for _, id := range ids {
 		e := c.view.entries[identifier.BackendServer(id)]
-		fmt.Fprintf(w, "Server %s life %d service %s zone %s running %d usable %t\n", id, e.Life, e.Service, e.Zone, running[e.ID], e.Usable())
+		line("Server %s life %d service %s zone %s running %d usable %t", id, e.Life, e.Service, e.Zone, running[e.ID], e.Usable())
 	}
-	fmt.Fprintf(w, "Requests waiting %d\n", c.scheduler.Waiting())
+	line("Requests waiting %d", c.scheduler.Waiting())
+	return b.String()
 }
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -34,8 +34,6 @@
 	coldTill    map[identifier.Zone]time.Time // Of zones that came back from an evacuation.
 	entriesAt   time.Time                     // When a new backend server was seen last.
 	heat        map[identifier.Service]*allocator.Heat
-	newest      identifier.Version // Of the system's own objects.
-	ownAsked    time.Time          // When the newest list of the system's own objects was asked for.
 	badEntries  map[string]identifier.Version
 	storeDownAt time.Time // Start of the present outage; zero while the platform answers.
 	storeUpAt   time.Time // End of the last outage.
@@ -138,19 +136,27 @@
 				"Draining": e.State == registrar.Draining, "ColdMs": e.ColdLeft.Milliseconds(), "Version": e.Version}).Info("backend server")
 		}
 	}
+	c.keepLapsed(now, entries)
+	c.view.entries = entries
+}
+
+// keepLapsed keeps entries that are gone for the time in which they may come back: while
+// the store is away, and shortly after.
+func (c *Conductor) keepLapsed(now time.Time, entries map[identifier.BackendServer]registrar.Entry) {
 	for id, e := range c.view.entries {
 		if _, ok := entries[id]; ok {
 			continue
 		}
 		till, kept := c.view.removed[id]
-		if !kept && (now.Sub(c.view.storeUpAt) < returnTime || !c.view.storeDownAt.IsZero()) {
+		switch {
+		case kept:
+		case !c.view.storeDownAt.IsZero():
+			till, kept = now.Add(returnTime), true
+		case now.Sub(c.view.storeUpAt) < returnTime:
 			till, kept = c.view.storeUpAt.Add(returnTime), true
-			if !c.view.storeDownAt.IsZero() {
-				till = now.Add(returnTime)
-			}
-			c.view.removed[id] = till
 		}
 		if kept && now.Before(till) {
+			c.view.removed[id] = till
 			entries[id] = e
 			continue
 		}
@@ -158,7 +164,6 @@
 		delete(c.view.seen, id)
 		c.log.WithFields(logrus.Fields{"Server": id, "Life": e.Life, "EntryVersion": e.Version}).Info("backend server is gone")
 	}
-	c.view.entries = entries
 }
 
 func (c *Conductor) readEvacuations(now time.Time, objects []storer.Object) {
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -122,10 +122,7 @@
 	r.Zone = zone
 	mine, on := c.mine(zone)
 	wanted := c.Granter(now, zone) == c.settings.Instance
-	silent := func(h leaser.Holder) bool {
-		p := c.Gossip.Peer(h.Instance)
-		return h.Instance != c.settings.Instance && !h.Fenced && (p == nil || now.Sub(p.HeardAt) >= silentTime)
-	}
+	silent := func(h leaser.Holder) bool { return c.silent(now, h) }
 	switch {
 	case wanted && (!on || mine.Fenced || slices.ContainsFunc(r.Holders, silent)):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, silent), true
@@ -138,6 +135,12 @@
 	return r, false
 }
 
+// silent reports whether a holder that is not fenced has not been heard for a while.
+func (c *Custodian) silent(now time.Time, h leaser.Holder) bool {
+	p := c.Gossip.Peer(h.Instance)
+	return h.Instance != c.settings.Instance && !h.Fenced && (p == nil || now.Sub(p.HeardAt) >= silentTime)
+}
+
 // over reports whether nothing that a holder granted can be in force: its process
 // ended, or it was fenced, long enough ago.
 func (c *Custodian) over(now time.Time, zone identifier.Zone, h leaser.Holder) bool {
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -142,7 +142,6 @@
 	noStore   bool
 	noPeers   bool
 	entries   map[identifier.BackendServer]registrar.Entry
-	entriesAt time.Time
 	storeUp   bool
 	storeUpAt time.Time
 	rate      float64 // Of its clock.
@@ -586,7 +585,8 @@
 	for _, g := range s.grants {
 		kept = append(kept, minus(g, o.Range, identifier.Epoch(1<<62))...)
 	}
-	s.grants = append(kept, grantModel{o.Range, o.Epoch, until})
+	kept = append(kept, grantModel{o.Range, o.Epoch, until})
+	s.grants = kept
 	for _, other := range w.servers {
 		for _, g := range other.grants {
 			if other != s && other.up && g.rng.Overlaps(o.Range) && g.until.After(w.now) {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -129,7 +129,7 @@
 		if err != nil {
 			return Answer{}, true, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if resp.StatusCode < http.StatusOK { // It has no body.
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
@@ -138,6 +138,7 @@
 			return Answer{}, true, errNoLength
 		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+		err = errors.Join(err, resp.Body.Close())
 		switch {
 		case err != nil:
 			return Answer{}, true, err
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,190 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/turmericlift/turmericlift/exchanger"
+)
+
+// scripted serves each connection with the raw bytes of one script after another, one
+// for each request; "RESET" resets the connection, "CLOSE" closes it.
+func scripted(t *testing.T, scripts ...string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	next := make(chan string, len(scripts))
+	for _, s := range scripts {
+		next <- s
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn), next)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serve(c *net.TCPConn, next chan string) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		script := <-next
+		text, end, _ := strings.Cut(script, "|")
+		_, _ = io.WriteString(c, text)
+		switch end {
+		case "RESET":
+			_ = c.SetLinger(0)
+			return
+		case "CLOSE":
+			return
+		case "SILENT":
+			time.Sleep(time.Minute)
+		}
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func request(id string) *exchanger.Request {
+	return &exchanger.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, IDHeader: "Id", ID: id}
+}
+
+// TestAnswers is the table of what backend servers may send.
+func TestAnswers(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		script string
+		body   string // Empty: the request counts as sent and not answered.
+		reused bool
+	}{
+		"Whole":           {answer("a", "hello"), "hello", true},
+		"ForeignFirst":    {answer("z", "other") + answer("a", "hello"), "hello", true},
+		"ExtraAfter":      {answer("a", "hello") + answer("a", "again"), "hello", false},
+		"GarbageAfter":    {answer("a", "hello") + "%%%", "hello", false},
+		"Garbage":         {"no answer at all\r\n\r\n|CLOSE", "", false},
+		"Cut":             {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhel|CLOSE", "", false},
+		"Reset":           {"|RESET", "", false},
+		"Closed":          {"|CLOSE", "", false},
+		"NoLength":        {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|CLOSE", "hello", false},
+		"NoLengthReset":   {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|RESET", "", false},
+		"ForeignNoLength": {"HTTP/1.1 200 OK\r\nId: z\r\n\r\nhello|CLOSE", "", false},
+		"ConnectionClose": {"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", "hello", false},
+		"Continue":        {"HTTP/1.1 100 Continue\r\n\r\n" + answer("a", "hello"), "hello", true},
+		"Chunked":         {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", true},
+		"ChunkedCut":      {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n|CLOSE", "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := exchanger.NewPool(scripted(t, c.script, answer("b", "second")), 4, time.Now)
+			defer p.Close()
+			a, err := p.Do(context.Background(), request("a"))
+			var broken *exchanger.BrokenError
+			if c.body == "" && !errors.As(err, &broken) || c.body != "" && (err != nil || string(a.Body) != c.body) {
+				t.Fatalf("answer %q, %v; want %q", a.Body, err, c.body)
+			}
+			if a, err := p.Do(context.Background(), request("b")); err != nil || string(a.Body) != "second" {
+				t.Errorf("next request: %q, %v", a.Body, err)
+			}
+			if _, made := p.Open(); (made == 1) != c.reused {
+				t.Errorf("%d connections made, want the first one reused: %t", made, c.reused)
+			}
+		})
+	}
+}
+
+// TestUnsent checks that a request which reached nobody says so.
+func TestUnsent(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = exchanger.NewPool(address, 4, time.Now).Do(context.Background(), request("a"))
+	var unsent *exchanger.UnsentError
+	if !errors.As(err, &unsent) {
+		t.Errorf("no listener: %v", err)
+	}
+	if _, err := exchanger.NewPool(address, 0, time.Now).Do(context.Background(), request("a")); !errors.As(err, &unsent) {
+		t.Errorf("no connection left: %v", err)
+	}
+}
+
+// TestIdleClosed checks that a connection which the server has closed meanwhile is not
+// used: a request on it would be lost.
+func TestIdleClosed(t *testing.T) {
+	t.Parallel()
+	p := exchanger.NewPool(scripted(t, answer("a", "hello")+"|CLOSE", answer("b", "hello")), 4, time.Now)
+	if _, err := p.Do(context.Background(), request("a")); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 { // Until the close has arrived.
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := p.Do(context.Background(), request("b")); err != nil {
+		t.Errorf("after the close: %v", err)
+	}
+}
+
+// TestCancelled checks that a request ends with its context.
+func TestCancelled(t *testing.T) {
+	t.Parallel()
+	p := exchanger.NewPool(scripted(t, "|SILENT"), 4, time.Now)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Do(ctx, request("a"))
+	var broken *exchanger.BrokenError
+	if !errors.As(err, &broken) {
+		t.Errorf("cancelled: %v", err)
+	}
+	if open, _ := p.Open(); open != 0 {
+		t.Errorf("%d connections are open", open)
+	}
+}
+
+// TestDoBefore checks that an order goes over a connection that is old enough only.
+func TestDoBefore(t *testing.T) {
+	t.Parallel()
+	p := exchanger.NewPool(scripted(t, answer("a", "hello"), answer("b", "hello")), 4, time.Now)
+	var unsent *exchanger.UnsentError
+	if _, err := p.DoBefore(context.Background(), request("a"), time.Now()); !errors.As(err, &unsent) {
+		t.Fatalf("without a connection: %v", err)
+	}
+	if _, err := p.DoBefore(context.Background(), request("a"), time.Now().Add(-time.Hour)); !errors.As(err, &unsent) {
+		t.Errorf("over a connection that is too young: %v", err)
+	}
+	if _, err := p.DoBefore(context.Background(), request("a"), time.Now()); err != nil {
+		t.Errorf("over an old connection: %v", err)
+	}
+	if _, made := p.Open(); made != 1 {
+		t.Errorf("%d connections made", made)
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -336,25 +336,26 @@
 		key.epoch = seg.Fence
 	}
 	le := s.leases[key]
-	released := le != nil && le.released
-	if seg.Fence != 0 && !released {
+	if le == nil || seg.Fence != 0 && !le.released {
 		return "", false
 	}
 	for _, c := range s.calls {
-		if c.service != service || !c.rng.Overlaps(seg.Range) || c.epoch < seg.Fence {
-			continue // The owner has seen the fence and refuses what is below.
-		}
-		ended := released && c.answered && c.epoch <= key.epoch && !c.endedAt.After(le.releasedAt)
-		if c.open || now.Before(c.overAt) && !ended {
+		// Below the fence the owner refuses, since it has seen the fence.
+		concerns := c.service == service && c.rng.Overlaps(seg.Range) && c.epoch >= seg.Fence
+		if concerns && (c.open || now.Before(c.overAt) && !le.ends(c, key.epoch)) {
 			return "", false
 		}
 	}
-	if released {
+	if le.released {
 		return le.handover, true
 	}
-	// Without an answer to the release, a grant of a process that is off the roster by now
-	// has lapsed too: it left only after that.
-	return "", le != nil && (le.releaseAt != time.Time{})
+	// The release went unanswered, but nothing of this process is in force.
+	return "", !le.releaseAt.IsZero()
+}
+
+// ends reports whether the accepted release of an epoch ended a grant.
+func (le *lease) ends(c call, epoch identifier.Epoch) bool {
+	return le.released && c.answered && c.epoch <= epoch && !c.endedAt.After(le.releasedAt)
 }
 
 // Idle reports whether nothing that this process granted in a zone is in force: then it
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -339,7 +339,7 @@
 		if now.Sub(t.Arrived) < ownerPatience && wait < ownerPatience && !own.ReadyAt.IsZero() && !s.hopeless(now, t, 0) {
 			return Decision{}, false
 		}
-		return s.refuse(t, NoOwner, wait), true
+		return s.refuse(NoOwner, wait), true
 	}
 	return s.decideAt(now, t, sv, ahead)
 }
@@ -354,7 +354,7 @@
 		wait = time.Duration(float64(ahead[sv.entry.ID]+1) / max(sv.coldRate/float64(s.instances), 0.5) * float64(time.Second))
 	}
 	if s.hopeless(now, t, wait) {
-		return s.refuse(t, NoRoom, wait), true
+		return s.refuse(NoRoom, wait), true
 	}
 	ahead[sv.entry.ID]++
 	return Decision{}, false
@@ -385,13 +385,13 @@
 	}
 	switch {
 	case able == 0:
-		return s.refuse(t, NoServer, ownerPatience), true
+		return s.refuse(NoServer, ownerPatience), true
 	case best != nil:
 		return s.send(now, best), true
 	}
 	wait := time.Duration(float64(*ahead+1) / max(lanes, 1) * s.usual(t.Service) * float64(time.Millisecond))
 	if s.hopeless(now, t, wait) {
-		return s.refuse(t, NoRoom, wait), true
+		return s.refuse(NoRoom, wait), true
 	}
 	*ahead++
 	return Decision{}, false
@@ -403,7 +403,7 @@
 	return Decision{Server: sv.entry}
 }
 
-func (s *Scheduler) refuse(t *Ticket, why Reason, wait time.Duration) Decision {
+func (s *Scheduler) refuse(why Reason, wait time.Duration) Decision {
 	// The spread keeps callers that were refused together from coming back together.
 	s.spread = s.spread*6364136223846793005 + 1442695040888963407
 	factor := 1 + float64(s.spread>>40)/float64(1<<24)/2
--- a/storer/kinds.go
+++ b/storer/kinds.go
@@ -15,7 +15,8 @@
 // ObjectKind names a collection of objects.
 type ObjectKind string
 
-// ErrHistoryGone: the platform no longer has the changes since the watched revision.
+// ErrHistoryGone says that the platform no longer has the changes since the watched
+// revision.
 var ErrHistoryGone = errors.New("platform dropped the watched history")
 
 // Event is one change of an object.
