--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -142,8 +142,8 @@
 	if len(p.load) == 0 {
 		return nil // Without a server that can take keys, nothing gets better.
 	}
-	p.repair()
 	p.commit()
+	p.repair()
 	p.fence()
 	if a != nil && !p.changed && in.Balance {
 		p.balance()
@@ -186,9 +186,9 @@
 	return p
 }
 
-// initialParts is the number of segments that each server gets at first: one, since
-// each costs a renewal.
-const initialParts = 1
+// initialParts is the number of segments that each server gets at first: busy keys lie
+// side by side, and many small segments spread them before anything is known of them.
+const initialParts = 8
 
 // split cuts a segment into n parts of equal length.
 func split(s Segment, n int) []Segment {
--- a/allocator/heat.go
+++ b/allocator/heat.go
@@ -9,7 +9,7 @@
 
 // heatHalfLife is the time in which a count of requests fades to a half: short enough
 // that new hot keys show within a second, long enough to count some dozen requests.
-const heatHalfLife = 1500 * time.Millisecond
+const heatHalfLife = 1000 * time.Millisecond
 
 // Counter counts one instance's requests by key, with older ones fading. It is not
 // safe for concurrent use.
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -35,7 +35,7 @@
 
 const (
 	// heatEvery is the time between two reports of rates by key to the planner.
-	heatEvery = 400 * time.Millisecond
+	heatEvery = 200 * time.Millisecond
 	// crashKept is the time in which a crash is told to others.
 	crashKept = 5 * time.Second
 	// sendTimeout bounds the sending of a state.
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -17,7 +17,7 @@
 	planEvery = 100 * time.Millisecond
 	// balanceEvery is the time between two plans that may move keys for balance: what the
 	// last one did has to show in the rates.
-	balanceEvery = 500 * time.Millisecond
+	balanceEvery = 300 * time.Millisecond
 	// firstWait is the time without a new backend server after which a service's keys are
 	// given out for the first time.
 	firstWait = time.Second
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,231 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/director"
+	"github.com/turmericlift/turmericlift/exchanger"
+	"github.com/turmericlift/turmericlift/forwarder"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
+	"github.com/turmericlift/turmericlift/scheduler"
+)
+
+var names = forwarder.Names{RequestID: "Id", TimeLeft: "Left", ExpectServer: "Expect", NotExecuted: "Not-Run", Seal: "Seal", Load: "Load", Key: "Key"}
+
+// core answers each exchange by the next step of a script.
+type core struct {
+	table       *director.Table
+	refusal     scheduler.Reason
+	steps       []string
+	requests    []*exchanger.Request
+	repeats     bool
+	quarantined bool
+	misdirected int
+	broke       int
+}
+
+func (c *core) Table() *director.Table                                            { return c.table }
+func (c *core) Split(r *director.Route) identifier.Service                        { return r.Parts[0].Service }
+func (c *core) Finished(registrar.Entry, scheduler.Report)                        {}
+func (c *core) MayRepeat(identifier.Service) bool                                 { return c.repeats }
+func (c *core) Quarantined(answerer.Fingerprint) bool                             { return c.quarantined }
+func (c *core) Broke(registrar.Entry, answerer.Fingerprint)                       { c.broke++ }
+func (c *core) Completed(answerer.Fingerprint)                                    {}
+func (c *core) Observe(forwarder.Observation)                                     {}
+func (c *core) Misdirected(registrar.Entry, identifier.Service, identifier.Point) { c.misdirected++ }
+func (c *core) Owned(registrar.Entry, identifier.Service, identifier.Point)       {}
+
+func (c *core) Admit(_ context.Context, t *scheduler.Ticket) (scheduler.Decision, bool) {
+	if c.refusal != scheduler.None || len(c.steps) == 0 {
+		return scheduler.Decision{Reason: max(c.refusal, scheduler.NoRoom), RetryAfter: 250 * time.Millisecond}, true
+	}
+	id := identifier.BackendServer("s" + string(rune('0'+len(t.Tried))))
+	return scheduler.Decision{Server: registrar.Entry{ID: id}}, true
+}
+
+func (c *core) Exchange(ctx context.Context, _ registrar.Entry, r *exchanger.Request) (exchanger.Answer, error) {
+	c.requests = append(c.requests, r)
+	step := c.steps[0]
+	c.steps = c.steps[1:]
+	h := http.Header{"Id": {r.ID}, "Seal": {"sealed"}, "Keep-Alive": {"timeout=5"}}
+	switch step {
+	case "unsent":
+		return exchanger.Answer{}, &exchanger.UnsentError{Err: errors.New("refused")}
+	case "broken":
+		return exchanger.Answer{}, &exchanger.BrokenError{Err: errors.New("reset")}
+	case "silent":
+		<-ctx.Done()
+		return exchanger.Answer{}, &exchanger.BrokenError{Err: ctx.Err()}
+	case "shed":
+		return exchanger.Answer{Status: 503, Header: http.Header{"Not-Run": {"1"}}}, nil
+	case "misdirected":
+		return exchanger.Answer{Status: 421, Header: http.Header{}}, nil
+	case "failed":
+		return exchanger.Answer{Status: 500, Header: h, Body: []byte("failed")}, nil
+	case "encoded":
+		h.Set("Content-Encoding", "gzip")
+	case "unsealed":
+		h.Del("Seal")
+	}
+	return exchanger.Answer{Status: 200, Header: h, Body: []byte("done")}, nil
+}
+
+func table() *director.Table {
+	part := func(s identifier.Service) []director.Part { return []director.Part{{Service: s, Weight: 1}} }
+	return director.New(3, []director.Route{
+		{Name: "read", Host: "h", PathPrefix: "/read/", Idempotent: true, Timeout: 300 * time.Millisecond, Target: 100 * time.Millisecond, MaxAttempts: 2, Parts: part("pool")},
+		{Name: "write", Host: "h", PathPrefix: "/write/", Timeout: 300 * time.Millisecond, Target: 100 * time.Millisecond, MaxAttempts: 2, Parts: part("pool")},
+		{Name: "keyed", Host: "h", PathPrefix: "/keyed/", Timeout: 300 * time.Millisecond, Target: 100 * time.Millisecond, MaxAttempts: 2, Parts: part("keyed")},
+	}, []director.Service{{Name: "pool"}, {Name: "keyed", Keyed: true}}, director.Limits{MaxBodyBytes: 1000})
+}
+
+func send(c *core, method, path string, change func(*http.Request)) *http.Response {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := forwarder.New(names, c, time.Now, logrus.NewEntry(log))
+	r := httptest.NewRequest(method, path, strings.NewReader("body"))
+	r.Host = "h"
+	r.Header.Set("Id", "id-1")
+	r.Header.Set("Left", "2000")
+	r.Header.Set("Key", "77")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set("X-End", "2")
+	if change != nil {
+		change(r)
+	}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r)
+	return w.Result()
+}
+
+// TestEnds is the table of what callers are told: by what happened at the backend
+// servers, and by whether the request may run twice. A 503 promises that it has not run.
+func TestEnds(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		path   string
+		steps  []string
+		status int
+		sends  int
+	}{
+		"Read":                        {"/read/a", []string{"ok"}, 200, 1},
+		"ReadBroken":                  {"/read/a", []string{"broken", "ok"}, 200, 2},
+		"ReadBrokenTwice":             {"/read/a", []string{"broken", "broken", "ok"}, 502, 2},
+		"ReadShed":                    {"/read/a", []string{"shed", "ok"}, 200, 2},
+		"ReadEncoded":                 {"/read/a", []string{"encoded", "ok"}, 200, 2},
+		"ReadUnsealed":                {"/read/a", []string{"unsealed", "ok"}, 200, 2},
+		"ReadBrokenThenNoRoom":        {"/read/a", []string{"broken"}, 502, 1},
+		"ReadFailed":                  {"/read/a", []string{"failed"}, 500, 1},
+		"Write":                       {"/write/a", []string{"ok"}, 200, 1},
+		"WriteBroken":                 {"/write/a", []string{"broken", "ok"}, 502, 1},
+		"WriteSilent":                 {"/write/a", []string{"silent", "ok"}, 504, 1},
+		"WriteEncoded":                {"/write/a", []string{"encoded", "ok"}, 502, 1},
+		"WriteUnsent":                 {"/write/a", []string{"unsent", "ok"}, 200, 2},
+		"WriteShed":                   {"/write/a", []string{"shed", "ok"}, 200, 2},
+		"WriteShedThenBroken":         {"/write/a", []string{"shed", "broken", "ok"}, 502, 2},
+		"WriteShedThenNoRoom":         {"/write/a", []string{"shed"}, 503, 1},
+		"WriteFailed":                 {"/write/a", []string{"failed", "ok"}, 500, 1},
+		"KeyedMisdirected":            {"/keyed/a", []string{"misdirected", "ok"}, 200, 2},
+		"KeyedMisdirectedTooOften":    {"/keyed/a", []string{"misdirected", "misdirected", "misdirected", "ok"}, 503, 3},
+		"KeyedMisdirectedThenNoOwner": {"/keyed/a", []string{"misdirected"}, 503, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := &core{table: table(), steps: c.steps, repeats: true}
+			resp := send(k, http.MethodPost, c.path, nil)
+			if resp.StatusCode != c.status || len(k.requests) != c.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", resp.StatusCode, len(k.requests), c.status, c.sends)
+			}
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("a refusal without Retry-After")
+			}
+			if sealed := resp.Header.Get("Seal") != ""; sealed != (c.status == 200 || c.status == 500) {
+				t.Errorf("status %d carries a seal: %t", resp.StatusCode, sealed)
+			}
+		})
+	}
+}
+
+// TestRefused is the table of requests that are answered without a backend server.
+func TestRefused(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		core   core
+		path   string
+		change func(*http.Request)
+		status int
+	}{
+		"NoConfiguration": {core{}, "/read/a", nil, 503},
+		"NoRoute":         {core{table: table()}, "/other/a", nil, 404},
+		"OtherHost":       {core{table: table()}, "/read/a", func(r *http.Request) { r.Host = "else" }, 404},
+		"BadKey":          {core{table: table()}, "/keyed/a", func(r *http.Request) { r.Header.Set("Key", "65536") }, 400},
+		"BadTime":         {core{table: table()}, "/read/a", func(r *http.Request) { r.Header.Set("Left", "soon") }, 400},
+		"NoTime":          {core{table: table()}, "/read/a", func(r *http.Request) { r.Header.Set("Left", "1") }, 503},
+		"TooLarge":        {core{table: table()}, "/read/a", func(r *http.Request) { r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001))) }, 413},
+		"Quarantined":     {core{table: table(), quarantined: true}, "/read/a", nil, 503},
+		"NoRoom":          {core{table: table(), refusal: scheduler.NoRoom}, "/write/a", nil, 503},
+		"NoOwner":         {core{table: table(), refusal: scheduler.NoOwner}, "/keyed/a", nil, 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.core.steps = []string{"ok"}
+			resp := send(&c.core, http.MethodPost, c.path, c.change)
+			if resp.StatusCode != c.status || len(c.core.requests) != 0 {
+				t.Errorf("status %d after %d sends, want %d after none", resp.StatusCode, len(c.core.requests), c.status)
+			}
+		})
+	}
+}
+
+// TestRepeatsBounded checks that a repeat over the bound is not sent.
+func TestRepeatsBounded(t *testing.T) {
+	k := &core{table: table(), steps: []string{"shed", "ok"}}
+	if resp := send(k, http.MethodPost, "/write/a", nil); resp.StatusCode != 503 || len(k.requests) != 1 {
+		t.Errorf("status %d after %d sends", resp.StatusCode, len(k.requests))
+	}
+}
+
+// TestForwarded checks what a backend server gets.
+func TestForwarded(t *testing.T) {
+	k := &core{table: table(), steps: []string{"ok"}}
+	resp := send(k, http.MethodPut, "/write/a%20b?c=d", nil)
+	r := k.requests[0]
+	if r.Method != "PUT" || r.Target != "/write/a%20b?c=d" || r.Host != "h" || string(r.Body) != "body" || r.ID != "id-1" {
+		t.Errorf("request %+v", r)
+	}
+	h := r.Header
+	if h.Get("Connection") != "" || h.Get("X-Hop") != "" || h.Get("X-End") != "2" || h.Get("Expect") != "s0" {
+		t.Errorf("headers %v", h)
+	}
+	if left := h.Get("Left"); len(left) != 3 || left > "300" { // The route's timeout is below the caller's time.
+		t.Errorf("time left %q", left)
+	}
+	if resp.Header.Get("Keep-Alive") != "" || resp.Header.Get("Content-Length") != "4" {
+		t.Errorf("answer's headers %v", resp.Header)
+	}
+}
+
+// TestCallerLeaves checks that a request ends when its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	k := &core{table: table(), steps: []string{"silent"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	send(k, http.MethodPost, "/read/a", func(r *http.Request) { *r = *r.WithContext(ctx) })
+	if len(k.steps) != 0 || k.broke != 0 {
+		t.Errorf("%d steps left, %d connections counted as broken", len(k.steps), k.broke)
+	}
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,45 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericlift/turmericlift/limiter"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestRepeats checks that no window of any place gets more repeats than its bound.
+func TestRepeats(t *testing.T) {
+	r := limiter.NewRepeats(10*time.Second, 0.2, 40)
+	var taken []time.Time
+	for n := range 3000 {
+		now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+		r.Request(now)
+		if r.Take(now, 4) {
+			taken = append(taken, now)
+		}
+	}
+	const most = 200 + 10 // 0.2 of 1,000 requests in 10 s, and a quarter of 40.
+	for n := range taken {
+		if n >= most && taken[n].Sub(taken[n-most]) < 10*time.Second {
+			t.Fatalf("over %d repeats within %s", most, taken[n].Sub(taken[n-most]))
+		}
+	}
+	if len(taken) < 300 {
+		t.Errorf("%d repeats in 30 s", len(taken))
+	}
+}
+
+func TestWindow(t *testing.T) {
+	w := limiter.NewWindow(time.Second)
+	for n := range 10 {
+		w.Add(start.Add(time.Duration(n) * 200 * time.Millisecond))
+	}
+	if n := w.Count(start.Add(1800 * time.Millisecond)); n != 5 {
+		t.Errorf("%d events in the last second, want 5", n)
+	}
+	if n := w.Count(start.Add(time.Hour)); n != 0 {
+		t.Errorf("%d events after an hour", n)
+	}
+}
--- /dev/null
+++ b/logger/logger_test.go
@@ -0,0 +1,51 @@
+package logger_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/turmericlift/turmericlift/logger"
+)
+
+// TestBlockedOutput checks that a blocked standard output blocks nobody who logs: lines
+// are dropped and counted.
+func TestBlockedOutput(t *testing.T) {
+	reader, output := io.Pipe() // Nobody reads: a write blocks.
+	w := logger.New(output)
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.Run(ctx)
+	const lines = 20000
+	for n := range lines {
+		if _, err := fmt.Fprintf(w, "line %d\n", n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if w.Dropped() < lines/2 {
+		t.Errorf("%d of %d lines were dropped", w.Dropped(), lines)
+	}
+	_ = reader.Close()
+	cancel()
+	<-w.Done()
+}
+
+// TestLines checks that all lines come out in order, also those that wait at the end.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	w := logger.New(&out)
+	var want strings.Builder
+	for n := range 1000 {
+		line := fmt.Sprintf("line %d\n", n)
+		want.WriteString(line)
+		_, _ = io.WriteString(w, line)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	go w.Run(ctx)
+	if err := <-w.Done(); err != nil || out.String() != want.String() || w.Dropped() != 0 {
+		t.Errorf("%d bytes, %v, %d dropped; want %d bytes", out.Len(), err, w.Dropped(), want.Len())
+	}
+}
