leaser: an order that waits for an old enough connection says nothing of its server

Ruled out: cold servers (none stated it), the balance of load. Change: such an order ends as deferred, which counts neither as failure nor as try. TestDeferred fails without it.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -118,9 +118,8 @@
 	heat      map[identifier.Service]*allocator.Counter
 	crashes   *quarantiner.Quarantiner
 	reported  []crashReport
-	pushed    []storer.Object   // Written, and not told to the others yet.
-	deltas    []allocator.Delta // Likewise.
-	behindAt  time.Time         // Since when another instance has newer objects.
+	pushed    []push    // Written a short while ago, told to the others.
+	behindAt  time.Time // Since when another instance has newer objects.
 	crashRuns uint64
 	pools     map[poolKey]*exchanger.Pool
 	orders    map[poolKey]*exchanger.Pool
@@ -132,6 +131,13 @@
 	done      chan error
 }
 
+// push is what this instance has written: an object, or an allocation's difference.
+type push struct {
+	at     time.Time
+	object storer.Object
+	delta  *allocator.Delta
+}
+
 type poolKey struct {
 	id      identifier.BackendServer
 	life    registrar.Life
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -90,6 +90,8 @@
 	a, err := c.sendVerified(ctx, o, r, orders, data, verified)
 	var unsent *exchanger.UnsentError
 	switch {
+	case errors.Is(err, exchanger.ErrYoung):
+		return leaser.Deferred, "", err
 	case errors.As(err, &unsent):
 		return leaser.Unsent, "", err
 	case err != nil:
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -117,8 +117,8 @@
 func (c *Conductor) state(now time.Time) gossiper.State {
 	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp()}
 	s.Confirmed, s.Releases, s.Lost = c.custody.Confirmations(now), c.custody.Releases(now), c.custody.Lost(now)
-	s.Newest, s.Objects, s.Deltas = c.custody.Newest(), c.pushed, c.deltas
-	c.pushed, c.deltas = nil, nil
+	s.Newest = c.custody.Newest()
+	c.addPushes(now, &s)
 	s.Running = c.scheduler.Running()
 	kept := c.reported[:0]
 	for _, r := range c.reported {
@@ -131,6 +131,27 @@
 	return s
 }
 
+// addPushes adds what was written a short while ago: a state may be skipped while the one
+// before is on its way.
+func (c *Conductor) addPushes(now time.Time, s *gossiper.State) {
+	kept := c.pushed[:0]
+	for _, p := range c.pushed {
+		if now.Sub(p.at) >= pushFor {
+			continue
+		}
+		kept = append(kept, p)
+		if p.delta != nil {
+			s.Deltas = append(s.Deltas, *p.delta)
+		} else {
+			s.Objects = append(s.Objects, p.object)
+		}
+	}
+	c.pushed = kept
+}
+
+// pushFor is the time in which what was written is told: two states.
+const pushFor = 2 * gossiper.SendEvery
+
 // othersRunning returns the requests that the other instances have at each server.
 func (c *Conductor) othersRunning(now time.Time) map[identifier.BackendServer]int {
 	sum := map[identifier.BackendServer]int{}
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -63,7 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !strings.HasPrefix(o.Name, custodian.AllocationPrefix) {
-		c.pushed = append(c.pushed, o)
+		c.pushed = append(c.pushed, push{at: c.clock(), object: o})
 		return
 	}
 	next, err := allocator.Decode(o.Data, o.Version)
@@ -71,7 +71,12 @@
 		c.log.WithFields(logrus.Fields{"Object": o.Name, "Error": err}).Error("written allocation does not decode")
 		return
 	}
-	c.deltas = append(c.deltas, allocator.Diff(c.custody.Allocation(next.Service), next, o.Version))
+	base := c.custody.Allocation(next.Service)
+	if base != nil && base.Version >= o.Version {
+		return // A list was faster; the others fetch a copy.
+	}
+	delta := allocator.Diff(base, next, o.Version)
+	c.pushed = append(c.pushed, push{at: c.clock(), delta: &delta})
 }
 
 // keepRosters joins and leaves the rosters of the zones.
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -519,8 +519,10 @@
 		in.triedAt[key] = w.now
 	}
 	verified := o.Kind == leaser.Release || o.Fencing || w.now.Sub(in.triedAt[key]) >= verifyTime
-	reachesLife := verified && s.life == o.Life || o.Kind == leaser.Release || o.Fencing
+	reachesLife := s.life == o.Life || o.Kind == leaser.Release || o.Fencing
 	switch {
+	case !verified:
+		answer(time.Millisecond, leaser.Deferred, "")
 	case !s.up || !reachesLife:
 		answer(time.Millisecond, leaser.Unsent, "")
 	case s.cut:
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -53,6 +53,9 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// ErrYoung says that no connection is old enough for the request; one has been made.
+var ErrYoung = errors.New("no connection is old enough")
+
 var (
 	errTooLarge = errors.New("answer is too large")
 	errForeign  = errors.New("too many answers to other requests")
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -49,11 +49,12 @@
 	Accepted                // The server did what was asked.
 	Refused                 // The server has seen a higher epoch.
 	Unknown                 // The server may carry the order out, now or later.
+	Deferred                // Not tried: it is not known yet which life a connection leads to.
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"Unsent", "Accepted", "Refused", "Unknown"}[o]
+	return [...]string{"Unsent", "Accepted", "Refused", "Unknown", "Deferred"}[o]
 }
 
 // String returns the kind's name.
@@ -269,9 +270,11 @@
 		le = &lease{}
 		s.leases[key] = le
 	}
-	if outcome == Accepted || outcome == Refused {
+	switch outcome {
+	case Accepted, Refused:
 		s.answersAt, s.failures = now, 0
-	} else {
+	case Deferred: // Says nothing of the server.
+	case Unsent, Unknown:
 		if s.failures == 0 {
 			s.failedAt = now
 		}
@@ -301,7 +304,7 @@
 	for _, c := range s.calls {
 		if !ended && c.open && c.service == key.service && c.rng == key.rng && c.epoch == key.epoch {
 			ended = true
-			if outcome == Unsent || outcome == Refused {
+			if outcome == Unsent || outcome == Refused || outcome == Deferred {
 				continue
 			}
 			c.open = false
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -159,6 +159,22 @@
 	}
 }
 
+// TestDeferred checks that a server is not lost because connections to it are not old
+// enough yet: after a restart of all instances that is so everywhere.
+func TestDeferred(t *testing.T) {
+	l := leaser.New(settings)
+	now := start
+	for range 30 {
+		for _, o := range l.Due(now, view(segment())) {
+			l.Ended(now, o, leaser.Deferred, "")
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if l.Lost(now, "s", 1) || !l.Idle(now, "a") {
+		t.Error("lost, or counted as granted, without a try")
+	}
+}
+
 // TestOtherLife checks that nothing is granted to a process of a server for which the
 // keys are not meant.
 func TestOtherLife(t *testing.T) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -21,7 +21,9 @@
 // fixed owns every key at one server.
 type fixed struct{ own scheduler.Ownership }
 
-func (f fixed) Owner(time.Time, identifier.Service, identifier.Point) scheduler.Ownership { return f.own }
+func (f fixed) Owner(time.Time, identifier.Service, identifier.Point) scheduler.Ownership {
+	return f.own
+}
 
 func candidate(id string, zone identifier.Zone, slots int) scheduler.Candidate {
 	return scheduler.Candidate{Entry: registrar.Entry{ID: identifier.BackendServer(id), Life: 1, Service: "s", Zone: zone, Address: "192.0.2.1:1", Slots: slots}}
