forwarder, scheduler: a refusal's line says what decided it

The line of each answer to a keyed request names the owner, the epoch and the version of the allocation; one that is not the backend server's own also names the load that was assumed there, its age, the queue and the expected wait.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -61,7 +61,6 @@
 	errForeign  = errors.New("too many answers to other requests")
 	errNoLength = errors.New("answer to another request has no length")
 	errFull     = errors.New("connection limit is reached")
-	errYoung    = errors.New("no connection is old enough")
 )
 
 const (
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,6 +112,7 @@
 	sent        map[identifier.BackendServer]bool
 	version     uint64
 	server      identifier.BackendServer
+	inputs      scheduler.Inputs // Of the last decision.
 }
 
 // result is the end of a request.
@@ -256,6 +257,7 @@
 		if !ok {
 			return f.givenUp(caller, fl, false)
 		}
+		fl.inputs = d.Inputs
 		if d.Reason != scheduler.None {
 			return f.refused(fl, d)
 		}
@@ -459,9 +461,21 @@
 		route = fl.route.Name
 	}
 	f.core.Observe(Observation{Route: route, Code: res.code, Status: res.status, Latency: latency, Sends: fl.sends})
-	f.log.WithFields(logrus.Fields{
-		"ID": fl.id, "Route": route, "Service": fl.service, "Key": fl.key, "ConfigVersion": fl.version, "Server": fl.server,
+	fields := logrus.Fields{
+		"ID": fl.id, "Route": route, "Service": fl.service, "ConfigVersion": fl.version, "Server": fl.server,
 		"Sends": fl.sends, "Status": res.status, "Code": int(res.code), "Ms": latency.Milliseconds(),
 		"LeftMs": fl.deadline.Sub(fl.arrived).Milliseconds(), "Returned": fl.returned,
-	}).Info("answered")
+	}
+	if fl.keyed {
+		own := fl.inputs.Owner
+		fields["Key"], fields["Owner"], fields["Epoch"], fields["Allocation"], fields["Moving"] = fl.key, own.Server, own.Epoch, own.Version, own.Moving
+	}
+	if res.code != answerer.CodeOK {
+		fields["Running"], fields["Others"], fields["LoadAgeMs"] = fl.inputs.Running, int(fl.inputs.Others+half), fl.inputs.LoadAge.Milliseconds()
+		fields["Ahead"], fields["WaitMs"], fields["RetryAfterMs"] = fl.inputs.Ahead, fl.inputs.Wait.Milliseconds(), res.retryAfter.Milliseconds()
+	}
+	f.log.WithFields(fields).Info("answered")
 }
+
+// half rounds an estimate to the nearest whole number.
+const half = 0.5
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -90,7 +90,7 @@
 	}, []director.Service{{Name: "pool"}, {Name: "keyed", Keyed: true}}, director.Limits{MaxBodyBytes: 1000})
 }
 
-func send(c *core, method, path string, change func(*http.Request)) *http.Response {
+func send(c *core, method, path string, change func(*http.Request)) *httptest.ResponseRecorder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := forwarder.New(names, c, time.Now, logrus.NewEntry(log))
@@ -107,7 +107,7 @@
 	}
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
-	return w.Result()
+	return w
 }
 
 // TestEnds is the table of what callers are told: by what happened at the backend
@@ -146,14 +146,14 @@
 			t.Parallel()
 			k := &core{table: table(), steps: c.steps, repeats: true}
 			resp := send(k, http.MethodPost, c.path, nil)
-			if resp.StatusCode != c.status || len(k.requests) != c.sends {
-				t.Errorf("status %d after %d sends, want %d after %d", resp.StatusCode, len(k.requests), c.status, c.sends)
+			if resp.Code != c.status || len(k.requests) != c.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", resp.Code, len(k.requests), c.status, c.sends)
 			}
-			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+			if resp.Code == http.StatusServiceUnavailable && resp.Header().Get("Retry-After") == "" {
 				t.Error("a refusal without Retry-After")
 			}
-			if sealed := resp.Header.Get("Seal") != ""; sealed != (c.status == 200 || c.status == 500) {
-				t.Errorf("status %d carries a seal: %t", resp.StatusCode, sealed)
+			if sealed := resp.Header().Get("Seal") != ""; sealed != (c.status == 200 || c.status == 500) {
+				t.Errorf("status %d carries a seal: %t", resp.Code, sealed)
 			}
 		})
 	}
@@ -184,8 +184,8 @@
 			t.Parallel()
 			c.core.steps = []string{"ok"}
 			resp := send(&c.core, http.MethodPost, c.path, c.change)
-			if resp.StatusCode != c.status || len(c.core.requests) != 0 {
-				t.Errorf("status %d after %d sends, want %d after none", resp.StatusCode, len(c.core.requests), c.status)
+			if resp.Code != c.status || len(c.core.requests) != 0 {
+				t.Errorf("status %d after %d sends, want %d after none", resp.Code, len(c.core.requests), c.status)
 			}
 		})
 	}
@@ -194,8 +194,8 @@
 // TestRepeatsBounded checks that a repeat over the bound is not sent.
 func TestRepeatsBounded(t *testing.T) {
 	k := &core{table: table(), steps: []string{"shed", "ok"}}
-	if resp := send(k, http.MethodPost, "/write/a", nil); resp.StatusCode != 503 || len(k.requests) != 1 {
-		t.Errorf("status %d after %d sends", resp.StatusCode, len(k.requests))
+	if resp := send(k, http.MethodPost, "/write/a", nil); resp.Code != 503 || len(k.requests) != 1 {
+		t.Errorf("status %d after %d sends", resp.Code, len(k.requests))
 	}
 }
 
@@ -204,7 +204,7 @@
 	k := &core{table: table(), steps: []string{"ok"}}
 	resp := send(k, http.MethodPut, "/write/a%20b?c=d", nil)
 	r := k.requests[0]
-	if r.Method != "PUT" || r.Target != "/write/a%20b?c=d" || r.Host != "h" || string(r.Body) != "body" || r.ID != "id-1" {
+	if r.Method != http.MethodPut || r.Target != "/write/a%20b?c=d" || r.Host != "h" || string(r.Body) != "body" || r.ID != "id-1" {
 		t.Errorf("request %+v", r)
 	}
 	h := r.Header
@@ -214,8 +214,8 @@
 	if left := h.Get("Left"); len(left) != 3 || left > "300" { // The route's timeout is below the caller's time.
 		t.Errorf("time left %q", left)
 	}
-	if resp.Header.Get("Keep-Alive") != "" || resp.Header.Get("Content-Length") != "4" {
-		t.Errorf("answer's headers %v", resp.Header)
+	if resp.Header().Get("Keep-Alive") != "" || resp.Header().Get("Content-Length") != "4" {
+		t.Errorf("answer's headers %v", resp.Header())
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,12 +46,26 @@
 	Server     registrar.Entry
 	Reason     Reason
 	RetryAfter time.Duration
+	Inputs     Inputs
+}
+
+// Inputs are what a decision was made from, for the log.
+type Inputs struct {
+	Owner   Ownership
+	Running int           // Requests of this instance at the server.
+	Others  float64       // Estimate of the other instances' requests there.
+	LoadAge time.Duration // Of the server's last report; 0 if there was none.
+	Ahead   int           // Requests that waited before this one.
+	Wait    time.Duration // Expected.
 }
 
 // Ownership is what is known of the owner of a key.
 type Ownership struct {
-	Server identifier.BackendServer
-	Life   registrar.Life
+	Server  identifier.BackendServer
+	Life    registrar.Life
+	Epoch   identifier.Epoch
+	Version identifier.Version // Of the allocation.
+	Moving  bool
 	// Ready says that the owner can serve the key; otherwise it may from ReadyAt on.
 	Ready   bool
 	ReadyAt time.Time
@@ -339,9 +353,11 @@
 		if now.Sub(t.Arrived) < ownerPatience && wait < ownerPatience && !own.ReadyAt.IsZero() && !s.hopeless(now, t, 0) {
 			return Decision{}, false
 		}
-		return s.refuse(NoOwner, wait), true
+		return s.refuse(NoOwner, wait, Inputs{Owner: own, Wait: wait}), true
 	}
-	return s.decideAt(now, t, sv, ahead)
+	d, decided := s.decideAt(now, t, sv, ahead)
+	d.Inputs.Owner = own
+	return d, decided
 }
 
 func (s *Scheduler) decideAt(now time.Time, t *Ticket, sv *server, ahead map[identifier.BackendServer]int) (Decision, bool) {
@@ -354,7 +370,9 @@
 		wait = time.Duration(float64(ahead[sv.entry.ID]+1) / max(sv.coldRate/float64(s.instances), 0.5) * float64(time.Second))
 	}
 	if s.hopeless(now, t, wait) {
-		return s.refuse(NoRoom, wait), true
+		in := sv.inputs(now)
+		in.Ahead, in.Wait = ahead[sv.entry.ID], wait
+		return s.refuse(NoRoom, wait, in), true
 	}
 	ahead[sv.entry.ID]++
 	return Decision{}, false
@@ -385,30 +403,39 @@
 	}
 	switch {
 	case able == 0:
-		return s.refuse(NoServer, ownerPatience), true
+		return s.refuse(NoServer, ownerPatience, Inputs{}), true
 	case best != nil:
 		return s.send(now, best), true
 	}
 	wait := time.Duration(float64(*ahead+1) / max(lanes, 1) * s.usual(t.Service) * float64(time.Millisecond))
 	if s.hopeless(now, t, wait) {
-		return s.refuse(NoRoom, wait), true
+		return s.refuse(NoRoom, wait, Inputs{Ahead: *ahead, Wait: wait}), true
 	}
 	*ahead++
 	return Decision{}, false
 }
 
 func (s *Scheduler) send(now time.Time, sv *server) Decision {
+	in := sv.inputs(now)
 	sv.running++
 	sv.cold.Sent(now)
-	return Decision{Server: sv.entry}
+	return Decision{Server: sv.entry, Inputs: in}
+}
+
+func (sv *server) inputs(now time.Time) Inputs {
+	in := Inputs{Running: sv.running, Others: sv.othersNow(now)}
+	if !sv.othersAt.IsZero() {
+		in.LoadAge = now.Sub(sv.othersAt)
+	}
+	return in
 }
 
-func (s *Scheduler) refuse(why Reason, wait time.Duration) Decision {
+func (s *Scheduler) refuse(why Reason, wait time.Duration, in Inputs) Decision {
 	// The spread keeps callers that were refused together from coming back together.
 	s.spread = s.spread*6364136223846793005 + 1442695040888963407
 	factor := 1 + float64(s.spread>>40)/float64(1<<24)/2
 	wait = time.Duration(float64(max(wait, leastRetryAfter)) * factor)
-	return Decision{Reason: why, RetryAfter: wait}
+	return Decision{Reason: why, RetryAfter: wait, Inputs: in}
 }
 
 func (s *Scheduler) isCold(now time.Time, sv *server) bool { return now.Before(sv.coldTill) }
