gossiper: a process whose clock was set back before its start is heard

A process that starts meanwhile had a lower incarnation than the one before and was not heard until it was the higher one. It is new now once the other is silent, and takes its predecessor off the rosters itself. TestClockSetBack fails without it.

--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -146,7 +146,7 @@
 func (c *Custodian) over(now time.Time, zone identifier.Zone, h leaser.Holder) bool {
 	longest := c.settings.Leases.Longest()
 	if h.Instance == c.settings.Instance {
-		return h.Incarnation < c.settings.Incarnation && now.Sub(c.startedAt) > longest
+		return h.Incarnation != c.settings.Incarnation && now.Sub(c.startedAt) > longest
 	}
 	if p := c.Gossip.Peer(h.Instance); p != nil && p.Incarnation > h.Incarnation && now.Sub(p.FirstAt) > longest {
 		return true
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -125,10 +125,15 @@
 		return false
 	}
 	p, ok := g.peers[s.Instance]
-	if ok && (s.Incarnation < p.Incarnation || s.Incarnation == p.Incarnation && s.Number <= p.Number) {
+	if ok && s.Incarnation == p.Incarnation && s.Number <= p.Number {
 		return false
 	}
-	if !ok || s.Incarnation > p.Incarnation {
+	// Incarnations come from the time of day, which may have been set back between two
+	// processes: a lower one is new if the other has been silent.
+	if ok && s.Incarnation < p.Incarnation && now.Sub(p.HeardAt) < SilentAfter {
+		return false
+	}
+	if !ok || s.Incarnation != p.Incarnation {
 		p = &Peer{FirstAt: now, HeardSince: now}
 		g.peers[s.Instance] = p
 	} else if now.Sub(p.HeardAt) >= SilentAfter {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// TestClockSetBack checks that a process is heard whose clock was set back before it was
+// started, so that its incarnation is lower than that of the process before it.
+func TestClockSetBack(t *testing.T) {
+	a, b := pair()
+	a.Heard(start, b.Compose(start, gossiper.State{}))
+	restarted := gossiper.New(gossiper.State{Instance: "b", Incarnation: 0, Address: "b:1"})
+	if a.Heard(start.Add(gossiper.SilentAfter/2), restarted.Compose(start, gossiper.State{})) {
+		t.Error("heard while the process with the higher incarnation may live")
+	}
+	if !a.Heard(start.Add(gossiper.SilentAfter), restarted.Compose(start, gossiper.State{})) {
+		t.Error("not heard after the silence of the process before")
+	}
+}
+
 // TestSilence checks who is live, and that a peer that comes back counts as new for a
 // while.
 func TestSilence(t *testing.T) {
