scheduler: one request at most waits at a server for the next slot

A third of the slots (2 of 6) could wait there for each instance's view of the others. Change: a tenth, so one. For servers of two slots nothing changes.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -79,7 +79,7 @@
 const (
 	// queueShare is the part of a server's slots that may wait at the server, so that a
 	// slot is not idle for the time of a round trip.
-	queueShare = 0.34
+	queueShare = 0.1
 	// rankStep is the lead that a more urgent rank has over the next one; requests of a
 	// lower rank that have waited that much longer go first, so that none starves.
 	rankStep = 400 * time.Millisecond
