--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -153,6 +153,21 @@
 	}
 }
 
+// TestBesideOneHotKey: the load is one key that no server can bear, and a little on every
+// other key. Its owner has to give the others away: they would wait behind it.
+func TestBesideOneHotKey(t *testing.T) {
+	in := input(servers(4, 30), nil)
+	a := settle(t, nil, in)
+	everywhere := allocator.Sketch{Ends: []identifier.Point{identifier.MaxPoint}, Rates: []float32{40}}
+	hot := allocator.Sketch{Ends: []identifier.Point{6, 7, identifier.MaxPoint}, Rates: []float32{0, 100, 0}}
+	in.Heat = allocator.NewHeat([]allocator.Sketch{everywhere, hot})
+	a = settle(t, a, in)
+	owner := a.Find(7).Owner
+	if n := owners(a)[owner]; n > identifier.Points/16 {
+		t.Errorf("%s has the hot key and %d others", owner, n)
+	}
+}
+
 // TestServersLeave checks that no keys stay at servers that leave, are lost or are taken
 // out, that a new life gets its keys under new epochs, and that one that joins gets some.
 func TestServersLeave(t *testing.T) {
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -13,6 +13,8 @@
 	// overMean is the use of a server, as a multiple of the mean, from which it gives
 	// keys away. Differences below are within what a second's requests show by chance.
 	overMean = 1.3
+	// mostOver is the load that is moved at most, as a multiple of what should be.
+	mostOver = 2
 	// leastUse is the use from which a server gives keys away: below, its requests do not
 	// wait.
 	leastUse = 0.4
@@ -113,13 +115,12 @@
 	spare := max(mean, p.use(from)/2)*p.Servers[to].Capacity - p.load[to]
 	excess := p.load[from] - mean*p.Servers[from].Capacity
 	amount := min(spare, max(excess, p.load[from]/4))
-	best := p.heaviest(from)
-	if best < 0 || amount <= 0 {
+	if amount <= 0 {
 		return false
 	}
-	cut := p.cut(p.next.Segments[best].Range, amount)
-	if p.Heat.Rate(cut) > 2*amount {
-		return false // One key alone: it would only move the trouble.
+	best, cut := p.movable(from, amount)
+	if best < 0 {
+		return false
 	}
 	p.load[from] -= p.weight(cut)
 	p.load[to] += p.weight(cut)
@@ -128,6 +129,24 @@
 	return true
 }
 
+// movable returns the heaviest segment of a server, and the part of it, whose load is not
+// far above amount; -1 if there is none. A key that alone has more stays, since it would
+// only move the trouble, but what lies beside it can leave.
+func (p *plan) movable(from identifier.BackendServer, amount float64) (best int, cut identifier.Range) {
+	best = -1
+	heaviest := 0.0
+	for n, s := range p.next.Segments {
+		if s.Owner != from || s.Moving || p.Servers[from].Unsteady {
+			continue
+		}
+		part := p.cut(s.Range, amount)
+		if w := p.weight(part); w > heaviest && w <= mostOver*amount {
+			best, cut, heaviest = n, part, w
+		}
+	}
+	return best, cut
+}
+
 // cut returns the end of a range, upper or lower, that holds about amount requests a
 // second, at least one key.
 func (p *plan) cut(r identifier.Range, amount float64) identifier.Range {
