allocator, scheduler: a key that is too hot goes to a server that is much faster

What a server can bear was taken from latencies, which grow with its own queue. Change: the work of a request is the latency less the share of the queue that the answer reports. A key that makes most of an overloaded server's load moves, alone, to one that is 1.35 times faster and less than half used. TestHotKeyToFasterServer names the load. Unused settings, headers and methods are out.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// TestHotKeyToFasterServer: the load is one key that its server cannot bear, while
+// another server is twice as fast and has little to do. The key goes there, alone.
+func TestHotKeyToFasterServer(t *testing.T) {
+	s := servers(4, 30)
+	in := input(s, nil)
+	a := settle(t, nil, in)
+	owner := a.Find(700).Owner
+	for id, server := range s {
+		if id != owner {
+			server.Capacity = 60
+			s[id] = server
+			break
+		}
+	}
+	in.Heat = heat(80, 700)
+	a = settle(t, a, in)
+	if got := s[a.Find(700).Owner].Capacity; got != 60 || a.Find(701).Owner == a.Find(700).Owner {
+		t.Errorf("the hot key is at a server of capacity %.0f, its neighbour at %s", got, a.Find(701).Owner)
+	}
+}
+
 // TestBesideOneHotKey: the load is one key that no server can bear, and a little on every
 // other key. Its owner has to give the others away: they would wait behind it.
 func TestBesideOneHotKey(t *testing.T) {
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -85,7 +85,52 @@
 	if p.use(high) < max(overMean*mean, leastUse) {
 		return false
 	}
-	return p.mark(high, low, mean)
+	return p.mark(high, low, mean) || p.promote(high)
+}
+
+// fasterFactor is how much faster a server must be to get a key that is too hot for its
+// owner: estimates of speed differ by less.
+const fasterFactor = 1.35
+
+// promote marks the hottest key of a server that is used over its capacity, if another
+// server is much faster and could give it most of its time.
+func (p *plan) promote(from identifier.BackendServer) bool {
+	if p.use(from) < 1 {
+		return false
+	}
+	best, hottest := -1, identifier.Range{}
+	for n, s := range p.next.Segments {
+		if s.Owner != from || s.Moving || p.Servers[from].Unsteady {
+			continue
+		}
+		if key := p.hottest(s.Range); best < 0 || p.weight(key) > p.weight(hottest) {
+			best, hottest = n, key
+		}
+	}
+	if best < 0 || p.weight(hottest) < p.load[from]/2 {
+		return false
+	}
+	capacity := p.Servers[from].Capacity
+	for id, load := range p.load {
+		if c := p.Servers[id].Capacity; c > fasterFactor*capacity && load < c/2 {
+			p.load[from] -= p.weight(hottest)
+			p.carve(best, hottest)
+			p.changed = true
+			return true
+		}
+	}
+	return false
+}
+
+// hottest returns the key with the most requests of a range.
+func (p *plan) hottest(r identifier.Range) identifier.Range {
+	best := identifier.Range{From: r.From, To: r.From}
+	for k := int(r.From); k <= int(r.To); k++ {
+		if key := (identifier.Range{From: identifier.Point(k), To: identifier.Point(k)}); p.Heat.Rate(key) > p.Heat.Rate(best) {
+			best = key
+		}
+	}
+	return best
 }
 
 func (p *plan) use(id identifier.BackendServer) float64 { return p.load[id] / p.Servers[id].Capacity }
@@ -159,14 +204,21 @@
 	return identifier.Range{From: r.From, To: r.From + identifier.Point(n)}
 }
 
-// carve splits segment n so that the keys of cut, its lower part, are on the move.
+// carve splits segment n so that the keys of cut, a part of it, are on the move.
 func (p *plan) carve(n int, cut identifier.Range) {
 	s := p.next.Segments[n]
-	head, tail := s, s
-	head.Range = cut
-	head.mark()
-	parts := []Segment{head}
+	var parts []Segment
+	if cut.From > s.Range.From {
+		head := s
+		head.Range.To = cut.From - 1
+		parts = append(parts, head)
+	}
+	moved := s
+	moved.Range = cut
+	moved.mark()
+	parts = append(parts, moved)
 	if cut.To < s.Range.To {
+		tail := s
 		tail.Range.From = cut.To + 1
 		parts = append(parts, tail)
 	}
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -103,7 +103,7 @@
 	usual := 0.0
 	n := 0
 	for _, e := range c.view.entries {
-		if ms, ok := c.scheduler.Latency(e.ID); ok && e.Service == service {
+		if ms, ok := c.scheduler.Work(e.ID); ok && e.Service == service {
 			usual += ms
 			n++
 		}
@@ -135,7 +135,7 @@
 
 // capacity returns the requests a second that a server can run.
 func (c *Conductor) capacity(now time.Time, e registrar.Entry, usual float64) float64 {
-	ms, ok := c.scheduler.Latency(e.ID)
+	ms, ok := c.scheduler.Work(e.ID)
 	if !ok || usual <= 0 {
 		ms, usual = 1, 1
 	}
--- a/imitator/objects.go
+++ b/imitator/objects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
@@ -155,10 +154,3 @@
 		}
 	}
 }
-
-// String names the revision, for traces.
-func (s *Objects) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return "revision " + strconv.FormatUint(uint64(s.revision), 10)
-}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -110,7 +110,6 @@
 	released   bool
 	releasedAt time.Time // When the accepted release was sent.
 	handover   string
-	acceptedAt time.Time
 }
 
 type segmentKey struct {
@@ -292,7 +291,6 @@
 	le.grantAt = now.Add(retryAfter)
 	if outcome == Accepted {
 		le.granted = true
-		le.acceptedAt = now
 		le.grantAt = now.Add(l.settings.Renew)
 	}
 	l.endCall(now, s, key, outcome, o.Hold)
@@ -373,16 +371,6 @@
 	return true
 }
 
-// Served reports whether a segment's grant has been accepted and is in force.
-func (l *Leaser) Served(now time.Time, service identifier.Service, seg allocator.Segment) bool {
-	s, ok := l.servers[lifeKey{seg.Owner, seg.Life}]
-	if !ok {
-		return false
-	}
-	le, ok := s.leases[segmentKey{service, seg.Range, seg.Epoch}]
-	return ok && le.granted && now.Before(le.acceptedAt.Add(l.settings.Hold))
-}
-
 // Forget drops what is known of leases that are in no allocation and whose grants are
 // over.
 func (l *Leaser) Forget(now time.Time, known func(service identifier.Service, r identifier.Range, e identifier.Epoch) bool) {
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -48,8 +48,7 @@
 	mu       sync.Mutex
 	objects  map[string]storer.Object
 	revision identifier.Version
-	asOf     time.Time // When the newest answer of the platform was asked for.
-	up       bool
+	asOf     time.Time          // When the newest answer of the platform was asked for.
 	again    context.CancelFunc // Ends the present watch.
 	done     chan error
 }
@@ -89,7 +88,6 @@
 		if refreshed || err == nil {
 			continue
 		}
-		m.setUp(false)
 		m.ended(m.kind, err)
 		if !errors.Is(err, storer.ErrHistoryGone) {
 			m.wait(ctx, failures)
@@ -107,7 +105,6 @@
 	}
 	worked()
 	m.Take(Copy{m.kind, page.Revision, page.Objects}, asked)
-	m.setUp(true)
 	if m.watch == 0 {
 		sleep(ctx, listEvery)
 		return ctx.Err()
@@ -154,19 +151,6 @@
 	}
 }
 
-func (m *Mirror) setUp(up bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.up = up
-}
-
-// Up reports whether the platform answered the newest call.
-func (m *Mirror) Up() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.up
-}
-
 // Take replaces the copy by a whole one that was asked for at a time, unless it is
 // older. It reports whether the copy is at least as new now.
 func (m *Mirror) Take(c Copy, asked time.Time) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,6 +119,7 @@
 	othersAt  time.Time
 	heard     float64 // Requests of other instances there, by what they say.
 	latency   float64 // Milliseconds, averaged.
+	work      float64 // Milliseconds that a request takes without waiting at the server, averaged.
 	slowness  float64 // Of the machine at slowAt; 1 is usual.
 	slowAt    time.Time
 	pauseTill time.Time // After a refusal or a failure.
@@ -166,7 +167,7 @@
 	for _, c := range candidates {
 		sv, ok := s.servers[c.ID]
 		if !ok || sv.entry.Life != c.Life || sv.entry.Address != c.Address {
-			sv = &server{cold: limiter.NewCold(), latency: s.usual(c.Service), slowness: 1}
+			sv = &server{cold: limiter.NewCold(), latency: s.usual(c.Service), work: s.usual(c.Service), slowness: 1}
 		}
 		sv.entry, sv.excluded, sv.coldTill, sv.coldRate = c.Entry, c.Excluded || !c.Usable(), c.ColdTill, c.ColdRate
 		known[c.ID] = sv
@@ -185,13 +186,14 @@
 	return float64(defaultLatency.Milliseconds())
 }
 
-// Latency returns the average latency of a server's answers to this instance.
-func (s *Scheduler) Latency(id identifier.BackendServer) (ms float64, ok bool) {
+// Work returns how long a request takes at a server without waiting there, on average,
+// as this instance sees it.
+func (s *Scheduler) Work(id identifier.BackendServer) (ms float64, ok bool) {
 	sv, ok := s.servers[id]
 	if !ok {
 		return 0, false
 	}
-	return sv.latency, true
+	return sv.work, true
 }
 
 // Arrive takes in a request. Its decision and others' that this allows are delivered.
@@ -252,6 +254,8 @@
 	case Answered:
 		ms := float64(r.Latency.Microseconds()) / 1000
 		sv.latency += smoothing * (ms - sv.latency)
+		// A queue of that length was there all the while, more or less.
+		sv.work += smoothing * (ms*min(1, float64(sv.entry.Slots)/float64(r.Running+r.Waiting+1)) - sv.work)
 		usual := s.usual(sv.entry.Service)
 		s.latency[sv.entry.Service] = usual + smoothing/4*(ms-usual)
 	case Shed:
