--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -125,12 +125,7 @@
 		return false
 	}
 	p, ok := g.peers[s.Instance]
-	if ok && s.Incarnation == p.Incarnation && s.Number <= p.Number {
-		return false
-	}
-	// Incarnations come from the time of day, which may have been set back between two
-	// processes: a lower one is new if the other has been silent.
-	if ok && s.Incarnation < p.Incarnation && now.Sub(p.HeardAt) < SilentAfter {
+	if ok && !p.precedes(now, s) {
 		return false
 	}
 	if !ok || s.Incarnation != p.Incarnation {
@@ -148,6 +143,20 @@
 	return true
 }
 
+// precedes reports whether a state is newer than what is known of its sender.
+// Incarnations come from the time of day, which may have been set back between two
+// processes: a lower one is new if the other has been silent.
+func (p *Peer) precedes(now time.Time, s State) bool {
+	switch {
+	case s.Incarnation == p.Incarnation:
+		return s.Number > p.Number
+	case s.Incarnation < p.Incarnation:
+		return now.Sub(p.HeardAt) >= SilentAfter
+	default:
+		return true
+	}
+}
+
 // Peer returns what is known of an instance, or nil.
 func (g *Gossiper) Peer(i identifier.Instance) *Peer { return g.peers[i] }
 
