forwarder, conductor: a server whose address another one has gets nothing more

Grants and releases went to the new servers again and again (they answer 400), and requests (421). No log showed it: orders that are refused looked like ones with a low epoch. Ruled out by counting: our own repeats (none at ledger in that window). Change: a 421 that names another server ends all traffic to that life, on all instances; every order, also releases and fences, goes only over connections that are older than a list which shows the life. TestReplaced names it; the schedules model it.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -113,6 +113,7 @@
 	}, conductor.Codec{
 		Names: forwarder.Names{
 			RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, ExpectServer: platform.HeaderExpectServer,
+			Server:      platform.HeaderServer,
 			NotExecuted: platform.HeaderNotExecuted, Seal: platform.HeaderSeal, Load: platform.HeaderLoad, Key: platform.HeaderKey,
 		},
 		Handover: platform.HeaderHandover, Entry: platform.DecodeEntry, Table: platform.DecodeConfig, EncodeOrder: platform.EncodeOrder,
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -72,6 +72,9 @@
 	c.mu.Lock()
 	key, orders := c.orderPool(o.Server, o.Life)
 	data := c.pools[key]
+	if life, ok := c.view.replaced[o.Server]; ok && life == o.Life {
+		orders = nil
+	}
 	verified := c.verified[o.Server]
 	c.mu.Unlock()
 	if orders == nil {
@@ -85,7 +88,7 @@
 	defer cancel()
 	r := &exchanger.Request{
 		Method: http.MethodPost, Target: path, Host: key.address, Body: body,
-		Header: http.Header{"Content-Type": {"application/json"}},
+		Header: http.Header{"Content-Type": {"application/json"}, c.codec.Names.ExpectServer: {string(o.Server)}},
 	}
 	a, err := c.sendVerified(ctx, o, r, orders, data, verified)
 	var unsent *exchanger.UnsentError
@@ -96,6 +99,8 @@
 		return leaser.Unsent, "", err
 	case err != nil:
 		return leaser.Unknown, "", err
+	case a.Status == http.StatusMisdirectedRequest:
+		return leaser.Unsent, "", errors.New("another backend server has the address")
 	case a.Status == http.StatusOK:
 		return leaser.Accepted, a.Header.Get(c.codec.Handover), nil
 	case a.Status == http.StatusConflict, a.Status == http.StatusBadRequest:
@@ -107,13 +112,10 @@
 
 // sendVerified sends an order over a connection that leads to the life that the order
 // is for: one that is older than a list which shows that life, by the time in which a
-// new life would have shown. A release needs no such care: it takes nothing from a life
-// that holds nothing.
+// new life, or another server at the address, would have shown. Orders name no server,
+// so anyone who has the address by now would carry them out.
 func (c *Conductor) sendVerified(ctx context.Context, o leaser.Order, r *exchanger.Request, orders, data *exchanger.Pool,
 	verified verification) (exchanger.Answer, error) {
-	if o.Kind == leaser.Release || o.Fencing {
-		return orders.Do(ctx, r)
-	}
 	before := verified.asked.Add(-c.settings.Heartbeat - lifeLag)
 	if verified.life != o.Life {
 		before = time.Time{}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -117,6 +117,9 @@
 func (c *Conductor) state(now time.Time) gossiper.State {
 	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp()}
 	s.Confirmed, s.Releases, s.Lost = c.custody.Confirmations(now), c.custody.Releases(now), c.custody.Lost(now)
+	for id, life := range c.view.replaced {
+		s.Replaced = append(s.Replaced, gossiper.LostServer{Server: id, Life: life})
+	}
 	s.Newest = c.custody.Newest()
 	c.addPushes(now, &s)
 	s.Running = c.scheduler.Running()
@@ -217,6 +220,9 @@
 	for _, crash := range s.Crashes {
 		c.crashes.Crashed(now, crash)
 	}
+	for _, r := range s.Replaced {
+		c.replace(now, r.Server, r.Life)
+	}
 	if s.Newest <= c.custody.Newest() {
 		c.behindAt = time.Time{}
 	} else if c.behindAt.IsZero() {
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		in.Servers[id] = allocator.Server{
-			Entry: e, Excluded: c.view.evacuated[e.Zone],
+			Entry: e, Excluded: c.excluded(e),
 			Cold:     now.Before(c.coldUntil(e)),
 			Capacity: c.capacity(now, e, usual),
 		}
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -118,6 +118,31 @@
 	c.custody.Owned(e, service, key)
 }
 
+// Replaced implements forwarder.Core.
+func (c *Conductor) Replaced(e registrar.Entry, by identifier.BackendServer) {
+	c.mu.Lock()
+	news := c.replace(c.clock(), e.ID, e.Life)
+	c.mu.Unlock()
+	if news {
+		c.log.WithFields(logrus.Fields{"Server": e.ID, "Life": e.Life, "EntryVersion": e.Version, "Address": e.Address, "By": by}).Info("another backend server has the address")
+		kick(c.planKick)
+		kick(c.sendKick)
+	}
+}
+
+// replace ends all traffic to a life whose address another server has, and reports whether
+// that is news. The caller holds the lock.
+func (c *Conductor) replace(now time.Time, id identifier.BackendServer, life registrar.Life) bool {
+	known, ok := c.view.replaced[id]
+	e, registered := c.view.entries[id]
+	if !registered || e.Life != life || ok && known == life {
+		return false
+	}
+	c.view.replaced[id] = life
+	c.refresh(now)
+	return true
+}
+
 // MayRepeat implements forwarder.Core.
 func (c *Conductor) MayRepeat(service identifier.Service) bool {
 	now := c.clock()
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -29,7 +29,8 @@
 	configAt    identifier.Version
 	entries     map[identifier.BackendServer]registrar.Entry
 	seen        map[identifier.BackendServer]seenEntry
-	removed     map[identifier.BackendServer]time.Time // Entries that may come back: until when they hold.
+	removed     map[identifier.BackendServer]time.Time      // Entries that may come back: until when they hold.
+	replaced    map[identifier.BackendServer]registrar.Life // Lives whose address another server has.
 	evacuated   map[identifier.Zone]bool
 	coldTill    map[identifier.Zone]time.Time // Of zones that came back from an evacuation.
 	entriesAt   time.Time                     // When a new backend server was seen last.
@@ -51,6 +52,7 @@
 		entries: map[identifier.BackendServer]registrar.Entry{}, seen: map[identifier.BackendServer]seenEntry{},
 		removed: map[identifier.BackendServer]time.Time{}, evacuated: map[identifier.Zone]bool{},
 		coldTill:   map[identifier.Zone]time.Time{},
+		replaced:   map[identifier.BackendServer]registrar.Life{},
 		heat:       map[identifier.Service]*allocator.Heat{},
 		badEntries: map[string]identifier.Version{},
 	}
@@ -202,6 +204,13 @@
 	c.custody.Gossip.ReplaceHints(append(members, c.settings.Seeds...))
 }
 
+// excluded reports whether a backend server gets no new work: its zone is taken out, or
+// its process has ended and another server has its address.
+func (c *Conductor) excluded(e registrar.Entry) bool {
+	life, ok := c.view.replaced[e.ID]
+	return c.view.evacuated[e.Zone] || ok && life == e.Life
+}
+
 // coldUntil returns until when a backend server counts as cold.
 func (c *Conductor) coldUntil(e registrar.Entry) time.Time {
 	till := c.view.seen[e.ID].coldTill
@@ -239,7 +248,7 @@
 	for _, e := range c.view.entries {
 		s := c.view.table.Services[e.Service]
 		candidates = append(candidates, scheduler.Candidate{
-			Entry: e, Excluded: c.view.evacuated[e.Zone], ColdTill: c.coldUntil(e),
+			Entry: e, Excluded: c.excluded(e), ColdTill: c.coldUntil(e),
 			ColdRate: (s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
 		})
 		limit := max(s.MaxConnections/count, 1)
@@ -251,6 +260,12 @@
 		c.pools[key] = exchanger.NewPool(e.Address, limit, c.clock)
 		c.orders[key] = exchanger.NewPool(e.Address, orderConnections, c.clock)
 	}
+	for key, p := range c.orders {
+		if life, ok := c.view.replaced[key.id]; ok && life == key.life {
+			p.Close() // Whatever it leads to is not that server.
+			delete(c.orders, key)
+		}
+	}
 	for key, p := range c.pools {
 		if e, ok := c.view.entries[key.id]; !ok || e.Life != key.life || e.Address != key.address {
 			p.Close()
@@ -258,8 +273,10 @@
 			if !ok {
 				continue // Its keys may have to be released.
 			}
-			c.orders[key].Close()
-			delete(c.orders, key)
+			if orders, ok := c.orders[key]; ok {
+				orders.Close()
+				delete(c.orders, key)
+			}
 		}
 	}
 	c.scheduler.SetServers(candidates)
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -518,8 +518,8 @@
 	if _, ok := in.triedAt[key]; !ok {
 		in.triedAt[key] = w.now
 	}
-	verified := o.Kind == leaser.Release || o.Fencing || w.now.Sub(in.triedAt[key]) >= verifyTime
-	reachesLife := s.life == o.Life || o.Kind == leaser.Release || o.Fencing
+	verified := w.now.Sub(in.triedAt[key]) >= verifyTime
+	reachesLife := s.life == o.Life
 	switch {
 	case !verified:
 		answer(time.Millisecond, leaser.Deferred, "")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -25,7 +25,7 @@
 
 // Names are the headers of requests and answers on one platform.
 type Names struct {
-	RequestID, TimeLeft, ExpectServer, NotExecuted, Seal, Load, Key string
+	RequestID, TimeLeft, ExpectServer, Server, NotExecuted, Seal, Load, Key string
 }
 
 // Core decides where requests go. Its methods are called concurrently.
@@ -42,6 +42,8 @@
 	Misdirected(e registrar.Entry, service identifier.Service, key identifier.Point)
 	// Owned takes in that a backend server owns a key.
 	Owned(e registrar.Entry, service identifier.Service, key identifier.Point)
+	// Replaced takes in that another backend server answers at a server's address.
+	Replaced(e registrar.Entry, by identifier.BackendServer)
 	// MayRepeat reports whether another request to the service is within the bound of
 	// repeats, and counts it.
 	MayRepeat(service identifier.Service) bool
@@ -355,6 +357,9 @@
 		return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
 	}
 	report.Outcome = scheduler.Shed
+	if by := identifier.BackendServer(a.Header.Get(f.names.Server)); a.Status == http.StatusMisdirectedRequest && by != "" && by != e.ID {
+		f.core.Replaced(e, by)
+	}
 	if a.Status == http.StatusMisdirectedRequest && fl.keyed {
 		report.Outcome = scheduler.Cancelled // The server itself is not at fault.
 		f.core.Misdirected(e, fl.service, fl.key)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -21,7 +21,7 @@
 	"github.com/turmericlift/turmericlift/scheduler"
 )
 
-var names = forwarder.Names{RequestID: "Id", TimeLeft: "Left", ExpectServer: "Expect", NotExecuted: "Not-Run", Seal: "Seal", Load: "Load", Key: "Key"}
+var names = forwarder.Names{RequestID: "Id", TimeLeft: "Left", ExpectServer: "Expect", Server: "Server", NotExecuted: "Not-Run", Seal: "Seal", Load: "Load", Key: "Key"}
 
 // core answers each exchange by the next step of a script.
 type core struct {
@@ -33,6 +33,7 @@
 	quarantined bool
 	misdirected int
 	broke       int
+	replaced    identifier.BackendServer
 }
 
 func (c *core) Table() *director.Table                                            { return c.table }
@@ -46,6 +47,8 @@
 func (c *core) Misdirected(registrar.Entry, identifier.Service, identifier.Point) { c.misdirected++ }
 func (c *core) Owned(registrar.Entry, identifier.Service, identifier.Point)       {}
 
+func (c *core) Replaced(_ registrar.Entry, by identifier.BackendServer) { c.replaced = by }
+
 func (c *core) Admit(_ context.Context, t *scheduler.Ticket) (scheduler.Decision, bool) {
 	if c.refusal != scheduler.None || len(c.steps) == 0 {
 		return scheduler.Decision{Reason: max(c.refusal, scheduler.NoRoom), RetryAfter: 250 * time.Millisecond}, true
@@ -71,6 +74,8 @@
 		return exchanger.Answer{Status: 503, Header: http.Header{"Not-Run": {"1"}}}, nil
 	case "misdirected":
 		return exchanger.Answer{Status: 421, Header: http.Header{}}, nil
+	case "replaced":
+		return exchanger.Answer{Status: 421, Header: http.Header{"Server": {"other"}}}, nil
 	case "failed":
 		return exchanger.Answer{Status: 500, Header: h, Body: []byte("failed")}, nil
 	case "encoded":
@@ -199,6 +204,19 @@
 	}
 }
 
+// TestReplaced checks that a server whose address another one has by now is known as such
+// after one request: each further one counts as an arrival at the other's service.
+func TestReplaced(t *testing.T) {
+	k := &core{table: table(), steps: []string{"replaced"}, repeats: true}
+	if resp := send(k, http.MethodPost, "/keyed/a", nil); resp.Code != http.StatusServiceUnavailable || k.replaced != "other" {
+		t.Errorf("status %d, replaced by %q", resp.Code, k.replaced)
+	}
+	k = &core{table: table(), steps: []string{"misdirected"}, repeats: true}
+	if send(k, http.MethodPost, "/keyed/a", nil); k.replaced != "" {
+		t.Errorf("a server that does not own the key counts as replaced by %q", k.replaced)
+	}
+}
+
 // TestForwarded checks what a backend server gets.
 func TestForwarded(t *testing.T) {
 	k := &core{table: table(), steps: []string{"ok"}}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -51,6 +51,7 @@
 	Confirmed   []Confirmation
 	Releases    []allocator.Release
 	Lost        []LostServer
+	Replaced    []LostServer // Lives whose address another backend server has.
 	Crashes     []quarantiner.Crash
 	Heat        map[identifier.Service]allocator.Sketch
 	// Newest is the highest version among the system's own objects that the sender has.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -35,9 +35,7 @@
 	Epoch    identifier.Epoch
 	Hold     time.Duration
 	Handover string
-	// Fencing grants have an epoch that only this process uses, and for one life: it does
-	// no harm if they reach another one.
-	Fencing bool
+	Fencing  bool // The epoch is a fence that only this process uses.
 }
 
 // Outcome is how an order ended.
