allocator: the keys of a life that has ended wait for nobody

Change: another server at a life's address proves that the life has ended; its keys get their next owners at once. TestEnded names it.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -130,6 +130,9 @@
 	// Released reports whether every granter of the segment's zone has said that it has
 	// nothing in force there, and the handover if there is one.
 	Released func(Segment) (bool, string)
+	// Ended reports whether a life of a server is known to have ended, and all that it held
+	// with it.
+	Ended func(identifier.BackendServer, registrar.Life) bool
 	// Stuck reports whether a segment that moves is to be taken back in another way: by a
 	// fence of the process that it returns, or by the granters' own word if that is empty.
 	Stuck func(Segment) (Fencer, bool)
@@ -263,8 +266,7 @@
 		if !s.Moving {
 			continue
 		}
-		if owner, ok := p.Servers[s.Owner]; ok && owner.Life != s.Life {
-			// The process that held the keys has ended, and all that it held with it.
+		if owner, ok := p.Servers[s.Owner]; ok && owner.Life != s.Life || p.Ended(s.Owner, s.Life) {
 			s.Handover = ""
 			free = append(free, s)
 		} else if done, handover := p.Released(*s); done {
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -25,6 +25,7 @@
 func input(s map[identifier.BackendServer]allocator.Server, heat *allocator.Heat) allocator.Input {
 	return allocator.Input{
 		Service: "x", Now: start, Servers: s, Heat: heat, Balance: true,
+		Ended:    func(identifier.BackendServer, registrar.Life) bool { return false },
 		Steady:   func(identifier.Zone) bool { return true },
 		Released: func(allocator.Segment) (bool, string) { return true, "token" },
 		Stuck:    func(allocator.Segment) (allocator.Fencer, bool) { return allocator.Fencer{}, false },
@@ -221,6 +222,19 @@
 	}
 }
 
+// TestEnded checks that nobody waits for the granters of a life that has ended.
+func TestEnded(t *testing.T) {
+	s := servers(4, 30)
+	in := input(s, nil)
+	a := settle(t, nil, in)
+	delete(s, "s00")
+	in.Released = func(allocator.Segment) (bool, string) { return false, "" }
+	in.Ended = func(id identifier.BackendServer, life registrar.Life) bool { return id == "s00" && life == 1 }
+	if n := owners(settle(t, a, in))["s00"]; n > 0 {
+		t.Errorf("a life that has ended still has %d keys", n)
+	}
+}
+
 // TestUnsteady checks that a missing entry is not acted on while the zone's granters are
 // not all heard: it may be the cut that hides it.
 func TestUnsteady(t *testing.T) {
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -100,6 +100,10 @@
 
 func (c *Conductor) planInput(now time.Time, service identifier.Service, balance bool) allocator.Input {
 	in := allocator.Input{Service: service, Balance: balance, Servers: map[identifier.BackendServer]allocator.Server{}}
+	in.Ended = func(id identifier.BackendServer, life registrar.Life) bool {
+		ended, ok := c.view.replaced[id]
+		return ok && ended == life
+	}
 	usual := 0.0
 	n := 0
 	for _, e := range c.view.entries {
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -455,6 +455,7 @@
 	}
 	next := allocator.Plan(in.custody.Allocation(service), in.custody.Input(w.now, allocator.Input{
 		Service: service, Servers: servers, Balance: w.rng.Intn(5) == 0,
+		Ended: func(identifier.BackendServer, registrar.Life) bool { return false },
 	}))
 	if next == nil {
 		return
