registrar: one Ownership, where custodian and scheduler each had one

The two types were the same to the field and converted at the one place that passed them on. Behaviour is unchanged; scheduler, custodian, forwarder, allocator and leaser tests and the linter pass.

--- a/conductor/view.go
+++ b/conductor/view.go
@@ -296,8 +296,8 @@
 )
 
 // Owner implements scheduler.Owners. The caller holds the lock.
-func (c *Conductor) Owner(now time.Time, service identifier.Service, key identifier.Point) scheduler.Ownership {
-	return scheduler.Ownership(c.custody.Owner(now, service, key))
+func (c *Conductor) Owner(now time.Time, service identifier.Service, key identifier.Point) registrar.Ownership {
+	return c.custody.Owner(now, service, key)
 }
 
 // storeEnded takes in the end of a call to the platform's store.
--- a/custodian/owner.go
+++ b/custodian/owner.go
@@ -23,28 +23,15 @@
 	probeTime = 100 * time.Millisecond
 )
 
-// Ownership is what is known of the owner of a key.
-type Ownership struct {
-	Server  identifier.BackendServer
-	Life    registrar.Life
-	Epoch   identifier.Epoch
-	Version identifier.Version // Of the allocation.
-	Moving  bool
-	// Ready says that the owner can serve the key; otherwise it may from ReadyAt on, or at
-	// a time that is not known if that is zero.
-	Ready   bool
-	ReadyAt time.Time
-}
-
 // Owner returns the owner of a key.
-func (c *Custodian) Owner(now time.Time, service identifier.Service, key identifier.Point) Ownership {
+func (c *Custodian) Owner(now time.Time, service identifier.Service, key identifier.Point) registrar.Ownership {
 	a := c.allocations[service]
 	if a == nil {
-		return Ownership{}
+		return registrar.Ownership{}
 	}
 	s := a.Find(key)
 	st := c.segments[segmentKey{service, s.Range, s.Epoch}]
-	own := Ownership{Server: s.Owner, Life: s.Life, Epoch: s.Epoch, Version: a.Version, Moving: s.Moving}
+	own := registrar.Ownership{Server: s.Owner, Life: s.Life, Epoch: s.Epoch, Version: a.Version, Moving: s.Moving}
 	switch {
 	case s.Owner == "" || st == nil:
 	case s.Moving:
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -36,3 +36,16 @@
 
 // Usable reports whether the backend server may get new work.
 func (e Entry) Usable() bool { return e.State == Ready }
+
+// Ownership is what is known of the owner of a key.
+type Ownership struct {
+	Server  identifier.BackendServer
+	Life    Life
+	Epoch   identifier.Epoch
+	Version identifier.Version // Of the allocation.
+	Moving  bool
+	// Ready says that the owner can serve the key; otherwise it may from ReadyAt on, or at
+	// a time that is not known if that is zero.
+	Ready   bool
+	ReadyAt time.Time
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,7 +51,7 @@
 
 // Inputs are what a decision was made from, for the log.
 type Inputs struct {
-	Owner   Ownership
+	Owner   registrar.Ownership
 	Running int           // Requests of this instance at the server.
 	Others  float64       // Estimate of the other instances' requests there.
 	LoadAge time.Duration // Of the server's last report; 0 if there was none.
@@ -59,21 +59,9 @@
 	Wait    time.Duration // Expected.
 }
 
-// Ownership is what is known of the owner of a key.
-type Ownership struct {
-	Server  identifier.BackendServer
-	Life    registrar.Life
-	Epoch   identifier.Epoch
-	Version identifier.Version // Of the allocation.
-	Moving  bool
-	// Ready says that the owner can serve the key; otherwise it may from ReadyAt on.
-	Ready   bool
-	ReadyAt time.Time
-}
-
 // Owners tells the owner of a key of a keyed service.
 type Owners interface {
-	Owner(now time.Time, service identifier.Service, key identifier.Point) Ownership
+	Owner(now time.Time, service identifier.Service, key identifier.Point) registrar.Ownership
 }
 
 const (
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -19,9 +19,9 @@
 var start = time.Unix(1000, 0)
 
 // fixed owns every key at one server.
-type fixed struct{ own scheduler.Ownership }
+type fixed struct{ own registrar.Ownership }
 
-func (f fixed) Owner(time.Time, identifier.Service, identifier.Point) scheduler.Ownership {
+func (f fixed) Owner(time.Time, identifier.Service, identifier.Point) registrar.Ownership {
 	return f.own
 }
 
@@ -109,12 +109,12 @@
 
 func (p *player) begin(owner string) {
 	p.keyed = owner != "pool"
-	own := scheduler.Ownership{Server: identifier.BackendServer(owner), Life: 1, Ready: true}
+	own := registrar.Ownership{Server: identifier.BackendServer(owner), Life: 1, Ready: true}
 	switch owner {
 	case "moving":
-		own = scheduler.Ownership{ReadyAt: p.now.Add(200 * time.Millisecond)}
+		own = registrar.Ownership{ReadyAt: p.now.Add(200 * time.Millisecond)}
 	case "nobody":
-		own = scheduler.Ownership{}
+		own = registrar.Ownership{}
 	}
 	p.s = scheduler.New("a", fixed{own})
 	p.s.SetServers(p.candidates)
