storer, conductor: an answer that does not decode is no outage of the store

Cause of KNOWN-RED's TestDaemon: the list of configurations did not decode, counted as an outage of the whole store, and planning stopped until the next call that worked; a key on the move waited and was refused 503, code 2001. Ruled out: the move itself, the store's return (both in the daemon's log). Change: storer.ErrGarbled, which storeEnded logs and nothing else; the kind is read again after the usual pause. TestStoreOutage/Garbled fails without the change.

--- /dev/null
+++ b/conductor/store_test.go
@@ -0,0 +1,67 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// noStore is a store that is not called.
+type noStore struct{}
+
+func (noStore) List(context.Context, storer.ObjectKind) (storer.Page, error) {
+	return storer.Page{}, storer.ErrUnavailable
+}
+
+func (noStore) Watch(context.Context, storer.ObjectKind, identifier.Version, time.Duration) (storer.Events, error) {
+	return storer.Events{}, storer.ErrUnavailable
+}
+
+func (noStore) Put(context.Context, storer.ObjectKind, string, identifier.Version, []byte) (identifier.Version, error) {
+	return 0, storer.ErrUnavailable
+}
+
+// newIdle returns a Conductor that runs nothing and whose clock is now.
+func newIdle(now *time.Time) *Conductor {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	kinds := Kinds{Servers: "servers", Config: "config", Evacuations: "evacuations", Own: "own", ConfigObject: "main"}
+	return New(Settings{Instance: "one", Incarnation: 1, Zone: "a", MaxHold: 10 * time.Second}, kinds, Codec{}, noStore{},
+		func() time.Time { return *now }, logrus.NewEntry(log), tally.NoopScope, http.NotFoundHandler())
+}
+
+// TestStoreOutage is the table of the ends of calls to the store that count as an outage,
+// during which nothing is planned.
+func TestStoreOutage(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		down bool
+	}{
+		{"Answered", nil, false},
+		{"NoAnswer", storer.ErrUnavailable, true},
+		{"HistoryGone", storer.ErrHistoryGone, false},
+		{"Garbled", fmt.Errorf("list config: %w: %w", storer.ErrGarbled, errors.New("unexpected end of JSON input")), false},
+		{"OwnBudget", storer.ErrBudget, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			conductor := newIdle(&now)
+			conductor.storeEnded("config", c.err)
+			if down := !conductor.view.storeDownAt.IsZero(); down != c.down {
+				t.Errorf("store counts as down: %t, want %t", down, c.down)
+			}
+		})
+	}
+}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -308,6 +308,11 @@
 		c.storeWorked(c.clock())
 		return
 	}
+	if errors.Is(err, storer.ErrGarbled) {
+		// The store is there: the other kinds and writes go on, and this kind is read again.
+		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("answer of the platform's store does not decode")
+		return
+	}
 	if errors.Is(err, storer.ErrHistoryGone) {
 		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store dropped its history, everything is listed anew")
 		for other, m := range c.mirrors {
--- a/storer/kinds.go
+++ b/storer/kinds.go
@@ -72,7 +72,7 @@
 		}
 		page, err := k.dialect.DecodePage(body)
 		if err != nil {
-			return Page{}, fmt.Errorf("list %s: %w: %w", kind, ErrUnavailable, err)
+			return Page{}, fmt.Errorf("list %s: %w: %w", kind, ErrGarbled, err)
 		}
 		all.Objects = append(all.Objects, page.Objects...)
 		if all.Revision == 0 {
@@ -93,7 +93,7 @@
 	}
 	o, err := k.dialect.DecodeObject(body)
 	if err != nil {
-		return Object{}, fmt.Errorf("get %s/%s: %w: %w", kind, name, ErrUnavailable, err)
+		return Object{}, fmt.Errorf("get %s/%s: %w: %w", kind, name, ErrGarbled, err)
 	}
 	return o, nil
 }
@@ -106,7 +106,7 @@
 	}
 	events, err := k.dialect.DecodeEvents(body)
 	if err != nil {
-		return Events{}, fmt.Errorf("watch %s from %d: %w: %w", kind, from, ErrUnavailable, err)
+		return Events{}, fmt.Errorf("watch %s from %d: %w: %w", kind, from, ErrGarbled, err)
 	}
 	return events, nil
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -69,6 +69,8 @@
 	ErrUnknown = errors.New("outcome of the write is unknown")
 	// ErrUnavailable: the platform did not answer, or refused the call for now.
 	ErrUnavailable = errors.New("platform is unavailable")
+	// ErrGarbled: the platform answered, and the answer does not decode.
+	ErrGarbled = errors.New("answer of the platform does not decode")
 	// ErrBudget: the client's own budget of calls is used up.
 	ErrBudget = errors.New("budget of platform calls is used up")
 )
