custodian, leaser: instances tell each other how old a fence is

Ruled out: a shorter authority, since a zone that is cut off must go on serving. Change: states carry the age of each fence, a lower bound that only grows on its way; a process that starts takes it over. A fence is named by the roster version that it replaced, so that the age of an earlier fence of a process that joined again in between is not mistaken for it (before, an observer that missed the versions in between would have counted from the earlier fence: found on reading).

--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -116,7 +116,8 @@
 // state returns what this instance tells the others. The caller holds the lock.
 func (c *Conductor) state(now time.Time) gossiper.State {
 	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp()}
-	s.Confirmed, s.Releases, s.Lost = c.custody.Confirmations(now), c.custody.Releases(now), c.custody.Lost(now)
+	s.Confirmed, s.Fences = c.custody.Confirmations(now), c.custody.Fences(now)
+	s.Releases, s.Lost = c.custody.Releases(now), c.custody.Lost(now)
 	for id, life := range c.view.replaced {
 		s.Replaced = append(s.Replaced, gossiper.LostServer{Server: id, Life: life})
 	}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -13,6 +13,7 @@
 package custodian
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -70,7 +71,7 @@
 	asked       time.Time          // When the newest list of them was asked for.
 	relayed     map[identifier.Zone]time.Time
 	joined      map[identifier.Zone]bool
-	fencedAt    map[holderKey]time.Time
+	fencedAt    map[fenceKey]time.Time // Times before which, at the latest, holders were fenced.
 }
 
 type segmentKey struct {
@@ -79,10 +80,10 @@
 	epoch   identifier.Epoch
 }
 
-type holderKey struct {
-	zone     identifier.Zone
-	instance identifier.Instance
-	inc      identifier.Incarnation
+// fenceKey names one fence of a process on a zone's roster.
+type fenceKey struct {
+	zone   identifier.Zone
+	holder leaser.Holder
 }
 
 // segmentState is what this instance knows of a segment beyond the allocation.
@@ -103,7 +104,7 @@
 		Gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.Address}),
 		Leases: leaser.New(s.Leases), allocations: map[identifier.Service]*allocator.Allocation{},
 		rosters: map[identifier.Zone]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
-		relayed: map[identifier.Zone]time.Time{}, joined: map[identifier.Zone]bool{}, fencedAt: map[holderKey]time.Time{},
+		relayed: map[identifier.Zone]time.Time{}, joined: map[identifier.Zone]bool{}, fencedAt: map[fenceKey]time.Time{},
 	}
 }
 
@@ -223,19 +224,52 @@
 	}
 	c.rosters[r.Zone] = r
 	for _, h := range r.Holders {
-		key := holderKey{r.Zone, h.Instance, h.Incarnation}
-		if _, ok := c.fencedAt[key]; h.Fenced && !ok {
-			c.fencedAt[key] = now
-		} else if !h.Fenced {
+		if h.Fenced() {
+			c.fenced(fenceKey{r.Zone, h}, now)
+		}
+	}
+	for key := range c.fencedAt {
+		if key.zone == r.Zone && !slices.Contains(r.Holders, key.holder) {
 			delete(c.fencedAt, key)
 		}
 	}
-	if h, ok := c.mine(r.Zone); !ok || h.Fenced {
+	if h, ok := c.mine(r.Zone); !ok || h.Fenced() {
 		delete(c.joined, r.Zone)
 	}
 	c.observe("roster", map[string]any{"Zone": r.Zone, "Version": r.Version, "Holders": r.Holders})
 }
 
+// fenced takes in that a holder was fenced at a time or before.
+func (c *Custodian) fenced(key fenceKey, at time.Time) {
+	if known, ok := c.fencedAt[key]; !ok || at.Before(known) {
+		c.fencedAt[key] = at
+	}
+}
+
+// Fences returns how long ago, at least, holders were fenced.
+func (c *Custodian) Fences(now time.Time) []gossiper.Fence {
+	fences := make([]gossiper.Fence, 0, len(c.fencedAt))
+	for key, at := range c.fencedAt {
+		fences = append(fences, gossiper.Fence{Zone: key.zone, Holder: key.holder, AgeMs: now.Sub(at).Milliseconds()})
+	}
+	sort.Slice(fences, func(a, b int) bool {
+		x, y := fences[a], fences[b]
+		return x.Zone < y.Zone || x.Zone == y.Zone && (x.Holder.Instance < y.Holder.Instance ||
+			x.Holder.Instance == y.Holder.Instance && x.Holder.Incarnation < y.Holder.Incarnation)
+	})
+	return fences
+}
+
+// takeFences takes in how long ago another instance knows holders to have been fenced: a
+// process that starts while a holder's authority runs out need not wait for all of it.
+func (c *Custodian) takeFences(now time.Time, fences []gossiper.Fence) {
+	for _, f := range fences {
+		if slices.Contains(c.rosters[f.Zone].Holders, f.Holder) && f.Holder.Fenced() && f.AgeMs > 0 {
+			c.fenced(fenceKey{f.Zone, f.Holder}, now.Add(-time.Duration(f.AgeMs)*time.Millisecond))
+		}
+	}
+}
+
 // mine returns this process's place on a zone's roster.
 func (c *Custodian) mine(zone identifier.Zone) (leaser.Holder, bool) {
 	return c.rosters[zone].Find(c.settings.Instance, c.settings.Incarnation)
@@ -250,7 +284,7 @@
 // May reports whether this process may grant in a zone now.
 func (c *Custodian) May(now time.Time, zone identifier.Zone) bool {
 	h, ok := c.mine(zone)
-	if !ok || h.Fenced || !c.joined[zone] || c.giving(now, zone) {
+	if !ok || h.Fenced() || !c.joined[zone] || c.giving(now, zone) {
 		return false
 	}
 	confirmed := c.asked
@@ -351,6 +385,7 @@
 	if !c.Gossip.Heard(now, s) {
 		return false
 	}
+	c.takeFences(now, s.Fences)
 	c.relay(c.Gossip.Peer(s.Instance))
 	return true
 }
--- a/custodian/planning.go
+++ b/custodian/planning.go
@@ -149,7 +149,7 @@
 			silent = true
 			continue
 		}
-		if !h.Fenced && (h.Instance == granter || fencer == allocator.Fencer{}) {
+		if !h.Fenced() && (h.Instance == granter || fencer == allocator.Fencer{}) {
 			fencer = process
 		}
 	}
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	h, ok := c.rosters[zone].Find(to, p.Incarnation)
-	return ok && !h.Fenced
+	return ok && !h.Fenced()
 }
 
 // Granter returns the instance that is to grant in a zone: one of the zone if there is
@@ -124,9 +124,9 @@
 	wanted := c.Granter(now, zone) == c.settings.Instance
 	silent := func(h leaser.Holder) bool { return c.silent(now, h) }
 	switch {
-	case wanted && (!on || mine.Fenced || slices.ContainsFunc(r.Holders, silent)):
+	case wanted && (!on || mine.Fenced() || slices.ContainsFunc(r.Holders, silent)):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, silent), true
-	case !wanted && on && (mine.Fenced || c.giving(now, zone)) && c.Leases.Idle(now, zone):
+	case !wanted && on && (mine.Fenced() || c.giving(now, zone)) && c.Leases.Idle(now, zone):
 		return r.Without(func(h leaser.Holder) bool { return h == mine }), true
 	case wanted && on:
 		next := r.Without(func(h leaser.Holder) bool { return h != mine && c.over(now, zone, h) })
@@ -138,7 +138,7 @@
 // silent reports whether a holder that is not fenced has not been heard for a while.
 func (c *Custodian) silent(now time.Time, h leaser.Holder) bool {
 	p := c.Gossip.Peer(h.Instance)
-	return h.Instance != c.settings.Instance && !h.Fenced && (p == nil || now.Sub(p.HeardAt) >= silentTime)
+	return h.Instance != c.settings.Instance && !h.Fenced() && (p == nil || now.Sub(p.HeardAt) >= silentTime)
 }
 
 // over reports whether nothing that a holder granted can be in force: its process
@@ -151,8 +151,8 @@
 	if p := c.Gossip.Peer(h.Instance); p != nil && p.Incarnation > h.Incarnation && now.Sub(p.FirstAt) > longest {
 		return true
 	}
-	since, ok := c.fencedAt[holderKey{zone, h.Instance, h.Incarnation}]
-	return ok && h.Fenced && now.Sub(since) > c.settings.Leases.Authority+longest+fenceReserve
+	since, ok := c.fencedAt[fenceKey{zone, h}]
+	return ok && now.Sub(since) > c.settings.Leases.Authority+longest+fenceReserve
 }
 
 // Unread returns the zones that this process has joined without having read what was
@@ -160,7 +160,7 @@
 func (c *Custodian) Unread() []identifier.Zone {
 	var unread []identifier.Zone
 	for zone := range c.rosters {
-		if h, on := c.mine(zone); on && !h.Fenced && !c.joined[zone] {
+		if h, on := c.mine(zone); on && !h.Fenced() && !c.joined[zone] {
 			unread = append(unread, zone)
 		}
 	}
@@ -171,7 +171,7 @@
 // knew to be on the rosters of zones has been taken in.
 func (c *Custodian) Read(zones []identifier.Zone) {
 	for _, zone := range zones {
-		if h, on := c.mine(zone); on && !h.Fenced {
+		if h, on := c.mine(zone); on && !h.Fenced() {
 			c.joined[zone] = true
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericlift/turmericlift/allocator"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/quarantiner"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/storer"
@@ -31,6 +32,13 @@
 	AgeMs   int64
 }
 
+// Fence says how long ago, at least, a process on a zone's roster was fenced.
+type Fence struct {
+	Zone   identifier.Zone
+	Holder leaser.Holder
+	AgeMs  int64
+}
+
 // Echo says which state of another instance was heard last.
 type Echo struct {
 	Instance    identifier.Instance
@@ -49,6 +57,7 @@
 	StoreUp     bool // The platform's store answers the sender.
 	Echoes      []Echo
 	Confirmed   []Confirmation
+	Fences      []Fence
 	Releases    []allocator.Release
 	Lost        []LostServer
 	Replaced    []LostServer // Lives whose address another backend server has.
--- a/leaser/roster.go
+++ b/leaser/roster.go
@@ -11,11 +11,16 @@
 type Holder struct {
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
-	// Fenced holders were silent when another took over. They stop as soon as they learn
-	// of it, and at the latest Authority after they were last confirmed.
-	Fenced bool `json:",omitempty"`
+	// FencedOver is the version of the roster that was replaced by one with this holder
+	// fenced; 0 if it is not fenced. A process that joined again and is fenced once more has
+	// another one. Fenced holders were silent when another took over. They stop as soon as
+	// they learn of it, and at the latest Authority after they were last confirmed.
+	FencedOver identifier.Version `json:",omitempty"`
 }
 
+// Fenced reports whether the holder may not grant any more.
+func (h Holder) Fenced() bool { return h.FencedOver != 0 }
+
 // Roster is the list of the processes that may have grants in force in a zone. A
 // process grants only while it is on the roster, and leaves it only when none of its
 // grants is in force any more that another would not renew.
@@ -69,7 +74,9 @@
 func (r Roster) Join(instance identifier.Instance, inc identifier.Incarnation, silent func(Holder) bool) Roster {
 	joined := r.Without(func(h Holder) bool { return h.Instance == instance && h.Incarnation == inc })
 	for n, h := range joined.Holders {
-		joined.Holders[n].Fenced = h.Fenced || silent(h)
+		if !h.Fenced() && silent(h) {
+			joined.Holders[n].FencedOver = r.Version
+		}
 	}
 	joined.Holders = append(joined.Holders, Holder{Instance: instance, Incarnation: inc})
 	return joined
