--- a/commander/commander.go
+++ b/commander/commander.go
@@ -42,6 +42,7 @@
 	{"dev", "Run several entry instances, a platform and backend servers on loopback, in one process.", setUpDev},
 	{"standin platform", "Run the platform stand-in.", setUpStandinPlatform},
 	{"standin backend", "Run a backend server stand-in.", setUpStandinBackend},
+	{"soak", "Run the program under random faults on this machine and check what it promises.", setUpSoak},
 	{"identities", "Make an authority and certificates for instances, for tests.", setUpIdentities},
 }
 
--- a/conductor/store_test.go
+++ b/conductor/store_test.go
@@ -35,7 +35,7 @@
 func newIdle(now *time.Time) *Conductor {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	kinds := Kinds{Servers: "servers", Config: "config", Evacuations: "evacuations", Own: "own", ConfigObject: "main"}
+	kinds := Kinds{Servers: "servers", Config: "config", Evacuations: "zones-out", Own: "own", ConfigObject: "main"}
 	return New(Settings{Instance: "one", Incarnation: 1, Zone: "a", MaxHold: 10 * time.Second}, kinds, Codec{}, noStore{},
 		func() time.Time { return *now }, logrus.NewEntry(log), tally.NoopScope, http.NotFoundHandler())
 }
