custodian, leaser: the grants of a large zone are spread over its instances

Change: a zone with more than 24 keyed servers is cut into cells with a roster and a granter each; a segment keeps the cell that it was given in, so a change of the number of cells moves no grant. At most 560 segments at first. Each third schedule of TestOneOwner has cells of one server.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -21,7 +21,7 @@
 	Range identifier.Range
 	Owner identifier.BackendServer `json:",omitempty"` // Empty: nobody owns the keys.
 	Life  registrar.Life           `json:",omitempty"` // The process of the owner that the keys were given to.
-	Zone  identifier.Zone          `json:",omitempty"` // The owner's zone.
+	Cell  identifier.Cell          `json:",omitzero"`  // Whose processes grant the keys to the owner.
 	Epoch identifier.Epoch
 	// Handover is what the owner gets with the grant to know the keys' state.
 	Handover string `json:",omitempty"`
@@ -92,13 +92,14 @@
 // Server is a backend server that keys can be given to.
 type Server struct {
 	registrar.Entry
+	Cell identifier.Cell // Whose processes grant keys to the server from now on.
 	// Excluded servers get no keys, and lose those that they have.
 	Excluded bool
 	// Cold servers bear little.
 	Cold bool
 	// Lost servers do not answer their granter.
 	Lost bool
-	// Unsteady servers are in a zone whose granters are not all heard: what is known of
+	// Unsteady servers are in a cell whose granters are not all heard: what is known of
 	// the server may be wrong, and its keys could not be taken back soon.
 	Unsteady bool
 	// Capacity is the requests a second that the server can run.
@@ -125,9 +126,9 @@
 	Heat    *Heat
 	// Balance allows moves that only spread the load.
 	Balance bool
-	// Steady reports whether a zone's granters are all heard, and have been for a while.
-	Steady func(identifier.Zone) bool
-	// Released reports whether every granter of the segment's zone has said that it has
+	// Steady reports whether a cell's granters are all heard, and have been for a while.
+	Steady func(identifier.Cell) bool
+	// Released reports whether every granter of the segment's cell has said that it has
 	// nothing in force there, and the handover if there is one.
 	Released func(Segment) (bool, string)
 	// Ended reports whether a life of a server is known to have ended, and all that it held
@@ -175,7 +176,7 @@
 	}
 	if a == nil {
 		whole := Segment{Range: identifier.Range{To: identifier.MaxPoint}}
-		p.next = &Allocation{Service: in.Service, NextEpoch: 1, Segments: split(whole, initialParts*max(len(p.load), 1))}
+		p.next = &Allocation{Service: in.Service, NextEpoch: 1, Segments: split(whole, initialSegments(len(p.load)))}
 		return p
 	}
 	next := *a
@@ -193,6 +194,16 @@
 // side by side, and many small segments spread them before anything is known of them.
 const initialParts = 8
 
+// mostInitial bounds the segments at first: each is renewed on its own, and the whole
+// allocation is one object on the platform.
+const mostInitial = 560
+
+// initialSegments returns the number of segments that a number of servers gets at first.
+func initialSegments(servers int) int {
+	servers = max(servers, 1)
+	return servers * min(max(mostInitial/servers, 1), initialParts)
+}
+
 // split cuts a segment into n parts of equal length.
 func split(s Segment, n int) []Segment {
 	parts := make([]Segment, 0, n)
@@ -218,7 +229,7 @@
 			continue
 		}
 		leaving := ok && (owner.Excluded || !owner.Usable() || owner.Life != s.Life)
-		if !leaving && !p.Steady(s.Zone) {
+		if !leaving && !p.Steady(s.Cell) {
 			continue
 		}
 		s.mark()
@@ -290,7 +301,7 @@
 
 func (p *plan) give(s *Segment, to identifier.BackendServer) {
 	server := p.Servers[to]
-	s.Owner, s.Life, s.Zone = to, server.Life, server.Zone
+	s.Owner, s.Life, s.Cell = to, server.Life, server.Cell
 	s.Epoch = p.next.NextEpoch
 	s.Moving, s.Round, s.Fence, s.Fencer = false, 0, 0, Fencer{}
 	p.next.NextEpoch++
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -26,7 +26,7 @@
 	return allocator.Input{
 		Service: "x", Now: start, Servers: s, Heat: heat, Balance: true,
 		Ended:    func(identifier.BackendServer, registrar.Life) bool { return false },
-		Steady:   func(identifier.Zone) bool { return true },
+		Steady:   func(identifier.Cell) bool { return true },
 		Released: func(allocator.Segment) (bool, string) { return true, "token" },
 		Stuck:    func(allocator.Segment) (allocator.Fencer, bool) { return allocator.Fencer{}, false },
 	}
@@ -242,7 +242,7 @@
 	in := input(s, nil)
 	a := settle(t, nil, in)
 	delete(s, "s00")
-	in.Steady = func(identifier.Zone) bool { return false }
+	in.Steady = func(identifier.Cell) bool { return false }
 	if next := allocator.Plan(a, in); next != nil {
 		t.Errorf("planned %+v", next)
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -166,7 +166,7 @@
 	}
 	c.view = newView()
 	c.custody = custodian.New(now, custodian.Settings{
-		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress,
+		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{Hold: min(grantHold, s.MaxHold), Renew: grantRenew, Authority: grantAuthority},
 	}, c.believed)
 	c.scheduler = scheduler.New(s.Zone, c)
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -147,22 +147,23 @@
 	return poolKey{}, nil
 }
 
-// prewarm makes connections for orders to the servers of this instance's zone as soon as
+// prewarm makes connections for orders to the servers that this instance is to grant to as soon as
 // they are known: they have to be some time old before grants may be sent over them.
 func (c *Conductor) prewarm() {
 	c.mu.Lock()
-	if c.clock().Sub(c.startedAt) > prewarmTime || c.view.table == nil {
+	now := c.clock()
+	if now.Sub(c.startedAt) > prewarmTime || c.view.table == nil {
 		c.mu.Unlock()
 		return
 	}
 	var cold []*exchanger.Pool
 	for key, p := range c.orders {
 		e, ok := c.view.entries[key.id]
-		if ok && e.Zone == c.settings.Zone && c.view.table.Services[e.Service].Keyed {
+		if ok && c.custody.Grants(now, e) {
 			cold = append(cold, p)
 		}
 	}
-	c.verifyAt = c.clock()
+	c.verifyAt = now
 	c.mu.Unlock()
 	for _, p := range cold {
 		c.tasks.Go(func(ctx context.Context) {
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -236,8 +236,8 @@
 	for _, p := range c.custody.Gossip.Live(now) {
 		line("Peer %s incarnation %d zone %s heard %s ago", p.Instance, p.Incarnation, p.Zone, now.Sub(p.HeardAt).Round(time.Millisecond))
 	}
-	for zone, r := range c.custody.Rosters() {
-		line("Roster %s version %d holders %v may grant %t", zone, r.Version, r.Holders, c.custody.May(now, zone))
+	for cell, r := range c.custody.Rosters() {
+		line("Roster %s version %d holders %v may grant %t", cell, r.Version, r.Holders, c.custody.May(now, cell))
 	}
 	for service, a := range c.custody.Allocations() {
 		line("Allocation %s version %d next epoch %d", service, a.Version, a.NextEpoch)
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -79,7 +79,7 @@
 	c.pushed = append(c.pushed, push{at: c.clock(), delta: &delta})
 }
 
-// keepRosters joins and leaves the rosters of the zones.
+// keepRosters joins and leaves the rosters of the cells.
 func (c *Conductor) keepRosters(ctx context.Context) {
 	c.mu.Lock()
 	changes := c.custody.RosterChanges(c.clock())
@@ -90,7 +90,7 @@
 			c.log.WithField("Error", err).Error("roster does not encode")
 			continue
 		}
-		c.write(ctx, custodian.RosterPrefix+string(r.Zone), r.Version, data)
+		c.write(ctx, custodian.RosterPrefix+r.Cell.String(), r.Version, data)
 	}
 	c.mu.Lock()
 	unread := c.custody.Unread()
@@ -108,8 +108,8 @@
 func (c *Conductor) leftRosters() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for zone := range c.custody.Rosters() {
-		if c.custody.Holds(zone) {
+	for cell := range c.custody.Rosters() {
+		if c.custody.Holds(cell) {
 			return false
 		}
 	}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -3,7 +3,7 @@
 // writes. It joins allocator, leaser and gossiper.
 //
 // Four rules make that a key has one owner. A process grants only while it is on the
-// zone's roster, not fenced, and was confirmed there less than Authority ago. It reads
+// cell's roster, not fenced, and was confirmed there less than Authority ago. It reads
 // the allocations after its entry in the roster is acknowledged and before its first
 // grant. It leaves the roster only when nothing that it granted is in force. And a key
 // that is marked gets its next owner only when every process on the roster, read after
@@ -38,6 +38,7 @@
 	Incarnation identifier.Incarnation
 	Zone        identifier.Zone
 	Address     string // For calls between instances.
+	CellSize    int    // Keyed backend servers up to which a zone has one cell.
 	Leases      leaser.Settings
 }
 
@@ -65,12 +66,13 @@
 	Leases    *leaser.Leaser
 
 	allocations map[identifier.Service]*allocator.Allocation
-	rosters     map[identifier.Zone]leaser.Roster
+	rosters     map[identifier.Cell]leaser.Roster
 	segments    map[segmentKey]*segmentState
 	newest      identifier.Version // Of the shared objects.
 	asked       time.Time          // When the newest list of them was asked for.
-	relayed     map[identifier.Zone]time.Time
-	joined      map[identifier.Zone]bool
+	relayed     map[identifier.Cell]time.Time
+	joined      map[identifier.Cell]bool
+	parts       parts                  // Of the zones, for new grants.
 	fencedAt    map[fenceKey]time.Time // Times before which, at the latest, holders were fenced.
 }
 
@@ -80,9 +82,9 @@
 	epoch   identifier.Epoch
 }
 
-// fenceKey names one fence of a process on a zone's roster.
+// fenceKey names one fence of a process on a cell's roster.
 type fenceKey struct {
-	zone   identifier.Zone
+	cell   identifier.Cell
 	holder leaser.Holder
 }
 
@@ -103,13 +105,16 @@
 		settings: s, observe: observe, startedAt: now,
 		Gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.Address}),
 		Leases: leaser.New(s.Leases), allocations: map[identifier.Service]*allocator.Allocation{},
-		rosters: map[identifier.Zone]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
-		relayed: map[identifier.Zone]time.Time{}, joined: map[identifier.Zone]bool{}, fencedAt: map[fenceKey]time.Time{},
+		rosters: map[identifier.Cell]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
+		relayed: map[identifier.Cell]time.Time{}, joined: map[identifier.Cell]bool{}, fencedAt: map[fenceKey]time.Time{},
 	}
 }
 
 // SetWorld replaces what is known of the surroundings.
-func (c *Custodian) SetWorld(w World) { c.world = w }
+func (c *Custodian) SetWorld(w World) {
+	c.world = w
+	c.parts = partsOf(w, c.settings.CellSize)
+}
 
 // Allocation returns the newest allocation of a service, or nil.
 func (c *Custodian) Allocation(service identifier.Service) *allocator.Allocation {
@@ -120,7 +125,7 @@
 func (c *Custodian) Allocations() map[identifier.Service]*allocator.Allocation { return c.allocations }
 
 // Rosters returns the newest rosters.
-func (c *Custodian) Rosters() map[identifier.Zone]leaser.Roster { return c.rosters }
+func (c *Custodian) Rosters() map[identifier.Cell]leaser.Roster { return c.rosters }
 
 // Asked returns when the newest list of the shared objects was asked for; zero if none
 // has been read.
@@ -219,24 +224,24 @@
 		c.observe("roster does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
 		return
 	}
-	if old, ok := c.rosters[r.Zone]; ok && old.Version >= r.Version {
+	if old, ok := c.rosters[r.Cell]; ok && old.Version >= r.Version {
 		return
 	}
-	c.rosters[r.Zone] = r
+	c.rosters[r.Cell] = r
 	for _, h := range r.Holders {
 		if h.Fenced() {
-			c.fenced(fenceKey{r.Zone, h}, now)
+			c.fenced(fenceKey{r.Cell, h}, now)
 		}
 	}
 	for key := range c.fencedAt {
-		if key.zone == r.Zone && !slices.Contains(r.Holders, key.holder) {
+		if key.cell == r.Cell && !slices.Contains(r.Holders, key.holder) {
 			delete(c.fencedAt, key)
 		}
 	}
-	if h, ok := c.mine(r.Zone); !ok || h.Fenced() {
-		delete(c.joined, r.Zone)
+	if h, ok := c.mine(r.Cell); !ok || h.Fenced() {
+		delete(c.joined, r.Cell)
 	}
-	c.observe("roster", map[string]any{"Zone": r.Zone, "Version": r.Version, "Holders": r.Holders})
+	c.observe("roster", map[string]any{"Cell": r.Cell.String(), "Version": r.Version, "Holders": r.Holders})
 }
 
 // fenced takes in that a holder was fenced at a time or before.
@@ -250,11 +255,11 @@
 func (c *Custodian) Fences(now time.Time) []gossiper.Fence {
 	fences := make([]gossiper.Fence, 0, len(c.fencedAt))
 	for key, at := range c.fencedAt {
-		fences = append(fences, gossiper.Fence{Zone: key.zone, Holder: key.holder, AgeMs: now.Sub(at).Milliseconds()})
+		fences = append(fences, gossiper.Fence{Cell: key.cell, Holder: key.holder, AgeMs: now.Sub(at).Milliseconds()})
 	}
 	sort.Slice(fences, func(a, b int) bool {
 		x, y := fences[a], fences[b]
-		return x.Zone < y.Zone || x.Zone == y.Zone && (x.Holder.Instance < y.Holder.Instance ||
+		return x.Cell.Compare(y.Cell) < 0 || x.Cell == y.Cell && (x.Holder.Instance < y.Holder.Instance ||
 			x.Holder.Instance == y.Holder.Instance && x.Holder.Incarnation < y.Holder.Incarnation)
 	})
 	return fences
@@ -264,31 +269,31 @@
 // process that starts while a holder's authority runs out need not wait for all of it.
 func (c *Custodian) takeFences(now time.Time, fences []gossiper.Fence) {
 	for _, f := range fences {
-		if slices.Contains(c.rosters[f.Zone].Holders, f.Holder) && f.Holder.Fenced() && f.AgeMs > 0 {
-			c.fenced(fenceKey{f.Zone, f.Holder}, now.Add(-time.Duration(f.AgeMs)*time.Millisecond))
+		if slices.Contains(c.rosters[f.Cell].Holders, f.Holder) && f.Holder.Fenced() && f.AgeMs > 0 {
+			c.fenced(fenceKey{f.Cell, f.Holder}, now.Add(-time.Duration(f.AgeMs)*time.Millisecond))
 		}
 	}
 }
 
-// mine returns this process's place on a zone's roster.
-func (c *Custodian) mine(zone identifier.Zone) (leaser.Holder, bool) {
-	return c.rosters[zone].Find(c.settings.Instance, c.settings.Incarnation)
+// mine returns this process's place on a cell's roster.
+func (c *Custodian) mine(cell identifier.Cell) (leaser.Holder, bool) {
+	return c.rosters[cell].Find(c.settings.Instance, c.settings.Incarnation)
 }
 
-// Holds reports whether this process is on a zone's roster, fenced or not.
-func (c *Custodian) Holds(zone identifier.Zone) bool {
-	_, ok := c.mine(zone)
+// Holds reports whether this process is on a cell's roster, fenced or not.
+func (c *Custodian) Holds(cell identifier.Cell) bool {
+	_, ok := c.mine(cell)
 	return ok
 }
 
-// May reports whether this process may grant in a zone now.
-func (c *Custodian) May(now time.Time, zone identifier.Zone) bool {
-	h, ok := c.mine(zone)
-	if !ok || h.Fenced() || !c.joined[zone] || c.giving(now, zone) {
+// May reports whether this process may grant in a cell now.
+func (c *Custodian) May(now time.Time, cell identifier.Cell) bool {
+	h, ok := c.mine(cell)
+	if !ok || h.Fenced() || !c.joined[cell] || c.giving(now, cell) {
 		return false
 	}
 	confirmed := c.asked
-	if relayed := c.relayed[zone]; relayed.After(confirmed) {
+	if relayed := c.relayed[cell]; relayed.After(confirmed) {
 		confirmed = relayed
 	}
 	return now.Sub(confirmed) < c.settings.Leases.Authority
@@ -296,17 +301,17 @@
 
 // Due returns the orders to send now.
 func (c *Custodian) Due(now time.Time) []leaser.Order {
-	holds, may := map[identifier.Zone]bool{}, map[identifier.Zone]bool{}
-	for zone := range c.rosters {
-		holds[zone] = c.Holds(zone)
-		may[zone] = holds[zone] && c.May(now, zone)
+	holds, may := map[identifier.Cell]bool{}, map[identifier.Cell]bool{}
+	for cell := range c.rosters {
+		holds[cell] = c.Holds(cell)
+		may[cell] = holds[cell] && c.May(now, cell)
 	}
 	var orders []leaser.Order
 	for _, service := range c.services() {
 		orders = append(orders, c.Leases.Due(now, leaser.View{
 			Allocation: c.allocations[service], Self: c.Self(),
-			Holds: func(zone identifier.Zone) bool { return holds[zone] },
-			May:   func(zone identifier.Zone) bool { return may[zone] },
+			Holds: func(cell identifier.Cell) bool { return holds[cell] },
+			May:   func(cell identifier.Cell) bool { return may[cell] },
 			Life: func(id identifier.BackendServer) (registrar.Life, bool) {
 				e, ok := c.world.Entries[id]
 				return e.Life, ok
@@ -347,7 +352,7 @@
 	var releases []allocator.Release
 	for _, service := range c.services() {
 		for _, seg := range c.allocations[service].Segments {
-			if !seg.Moving || !c.Holds(seg.Zone) || seg.Fence != 0 && seg.Fencer != c.Self() {
+			if !seg.Moving || !c.Holds(seg.Cell) || seg.Fence != 0 && seg.Fencer != c.Self() {
 				continue
 			}
 			if handover, free := c.Leases.Free(now, service, seg); free {
@@ -362,10 +367,10 @@
 // Confirmations returns how old this process's knowledge of each roster is.
 func (c *Custodian) Confirmations(now time.Time) []gossiper.Confirmation {
 	var all []gossiper.Confirmation
-	for zone, r := range c.rosters {
-		all = append(all, gossiper.Confirmation{Zone: zone, Version: r.Version, AgeMs: now.Sub(c.asked).Milliseconds() + 1})
+	for cell, r := range c.rosters {
+		all = append(all, gossiper.Confirmation{Cell: cell, Version: r.Version, AgeMs: now.Sub(c.asked).Milliseconds() + 1})
 	}
-	sort.Slice(all, func(a, b int) bool { return all[a].Zone < all[b].Zone })
+	sort.Slice(all, func(a, b int) bool { return all[a].Cell.Compare(all[b].Cell) < 0 })
 	return all
 }
 
@@ -373,7 +378,7 @@
 func (c *Custodian) Lost(now time.Time) []gossiper.LostServer {
 	var lost []gossiper.LostServer
 	for id, e := range c.world.Entries {
-		if c.Holds(e.Zone) && c.Leases.Lost(now, id, e.Life) {
+		if c.Holds(c.parts.cellOf(e)) && c.Leases.Lost(now, id, e.Life) {
 			lost = append(lost, gossiper.LostServer{Server: id, Life: e.Life})
 		}
 	}
@@ -398,10 +403,10 @@
 		return
 	}
 	for _, confirmed := range p.Confirmed {
-		if r, ok := c.rosters[confirmed.Zone]; ok && r.Version == confirmed.Version {
+		if r, ok := c.rosters[confirmed.Cell]; ok && r.Version == confirmed.Version {
 			asked := p.MadeAfter.Add(-time.Duration(confirmed.AgeMs) * time.Millisecond)
-			if asked.After(c.relayed[confirmed.Zone]) {
-				c.relayed[confirmed.Zone] = asked
+			if asked.After(c.relayed[confirmed.Cell]) {
+				c.relayed[confirmed.Cell] = asked
 			}
 		}
 	}
--- a/custodian/planning.go
+++ b/custodian/planning.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// steadyTime is the time after which a zone's granters and entries count as settled
+	// steadyTime is the time after which a cell's granters and entries count as settled
 	// again: entries that lapsed in a cut are back by then.
 	steadyTime = 2500 * time.Millisecond
 	// stuckAfter is the time after which keys whose granters are not all heard are taken
@@ -27,12 +27,12 @@
 // Input completes what a plan is made from. Servers and Heat are the caller's.
 func (c *Custodian) Input(now time.Time, in allocator.Input) allocator.Input {
 	in.Now = now
-	steady := map[identifier.Zone]bool{}
-	in.Steady = func(zone identifier.Zone) bool {
-		if _, ok := steady[zone]; !ok {
-			steady[zone] = c.Steady(now, zone)
+	steady := map[identifier.Cell]bool{}
+	in.Steady = func(cell identifier.Cell) bool {
+		if _, ok := steady[cell]; !ok {
+			steady[cell] = c.Steady(now, cell)
 		}
-		return steady[zone]
+		return steady[cell]
 	}
 	in.Released = func(s allocator.Segment) (bool, string) { return c.released(now, in.Service, s) }
 	in.Stuck = func(s allocator.Segment) (allocator.Fencer, bool) { return c.stuck(now, in.Service, s) }
@@ -43,8 +43,9 @@
 		}
 	}
 	for id, s := range in.Servers {
-		s.Unsteady = !in.Steady(s.Zone)
-		s.Lost = lost[gossiper.LostServer{Server: id, Life: s.Life}] || c.Holds(s.Zone) && c.Leases.Lost(now, id, s.Life)
+		s.Cell = c.parts.cellOf(s.Entry)
+		s.Unsteady = !in.Steady(s.Cell)
+		s.Lost = lost[gossiper.LostServer{Server: id, Life: s.Life}] || c.Holds(s.Cell) && c.Leases.Lost(now, id, s.Life)
 		in.Servers[id] = s
 	}
 	return in
@@ -62,14 +63,14 @@
 	return false
 }
 
-// Steady reports whether all processes on a zone's roster have been heard for a while
+// Steady reports whether all processes on a cell's roster have been heard for a while
 // and the store answers: only then does a missing entry or answer speak of the server,
 // and only then can its keys be taken back soon.
-func (c *Custodian) Steady(now time.Time, zone identifier.Zone) bool {
+func (c *Custodian) Steady(now time.Time, cell identifier.Cell) bool {
 	if !c.world.StoreUpAt.IsZero() && now.Sub(c.world.StoreUpAt) < steadyTime {
 		return false
 	}
-	for _, h := range c.rosters[zone].Holders {
+	for _, h := range c.rosters[cell].Holders {
 		if h.Instance == c.settings.Instance {
 			continue
 		}
@@ -88,7 +89,7 @@
 }
 
 // released reports whether nothing can be in force on a moving segment: its fencer says
-// so, or every process on the roster of its zone.
+// so, or every process on the roster of its cell.
 func (c *Custodian) released(now time.Time, service identifier.Service, s allocator.Segment) (done bool, handover string) {
 	st := c.segments[segmentKey{service, s.Range, s.Epoch}]
 	if st == nil || st.movingAt.IsZero() || !c.asked.After(st.movingAt) {
@@ -98,7 +99,7 @@
 		handover, done = c.releaseOf(now, s.Fencer, service, s)
 		return done, handover
 	}
-	for _, h := range c.rosters[s.Zone].Holders {
+	for _, h := range c.rosters[s.Cell].Holders {
 		theirs, free := c.releaseOf(now, allocator.Fencer{Instance: h.Instance, Incarnation: h.Incarnation}, service, s)
 		if !free {
 			return false, ""
@@ -142,8 +143,8 @@
 	}
 	silent := false
 	var fencer allocator.Fencer
-	granter := c.Granter(now, s.Zone)
-	for _, h := range c.rosters[s.Zone].Holders {
+	granter := c.Granter(now, s.Cell)
+	for _, h := range c.rosters[s.Cell].Holders {
 		process := allocator.Fencer{Instance: h.Instance, Incarnation: h.Incarnation}
 		if !c.heard(now, process) {
 			silent = true
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -23,8 +23,8 @@
 
 // giving reports whether another process that is on the roster is to grant in this
 // one's place.
-func (c *Custodian) giving(now time.Time, zone identifier.Zone) bool {
-	to := c.Granter(now, zone)
+func (c *Custodian) giving(now time.Time, cell identifier.Cell) bool {
+	to := c.Granter(now, cell)
 	if to == c.settings.Instance {
 		return false
 	}
@@ -32,18 +32,18 @@
 	if p == nil {
 		return false
 	}
-	h, ok := c.rosters[zone].Find(to, p.Incarnation)
+	h, ok := c.rosters[cell].Find(to, p.Incarnation)
 	return ok && !h.Fenced()
 }
 
-// Granter returns the instance that is to grant in a zone: one of the zone if there is
+// Granter returns the instance that is to grant in a cell: one of its zone if there is
 // one.
-func (c *Custodian) Granter(now time.Time, zone identifier.Zone) identifier.Instance {
-	near, far := c.candidates(now, func(z identifier.Zone) bool { return z == zone })
-	if top, ok := ranker.Top("granter "+string(zone), near); ok {
+func (c *Custodian) Granter(now time.Time, cell identifier.Cell) identifier.Instance {
+	near, far := c.candidates(now, func(z identifier.Zone) bool { return z == cell.Zone })
+	if top, ok := ranker.Top("granter "+cell.String(), near); ok {
 		return top
 	}
-	top, _ := ranker.Top("granter "+string(zone), far)
+	top, _ := ranker.Top("granter "+cell.String(), far)
 	return top
 }
 
@@ -96,40 +96,47 @@
 	if now.Sub(c.startedAt) < SettleTime {
 		return nil
 	}
-	zones := map[identifier.Zone]bool{}
+	cells := map[identifier.Cell]bool{}
 	for _, e := range c.world.Entries {
 		if c.world.Keyed[e.Service] {
-			zones[e.Zone] = true
+			cells[c.parts.cellOf(e)] = true
 		}
 	}
-	for zone := range c.rosters {
-		zones[zone] = true
+	for cell := range c.rosters {
+		cells[cell] = true
+	}
+	for _, a := range c.allocations {
+		for n := range a.Segments {
+			if a.Segments[n].Owner != "" {
+				cells[a.Segments[n].Cell] = true
+			}
+		}
 	}
 	var changes []leaser.Roster
-	for zone := range zones {
-		if r, ok := c.rosterChange(now, zone); ok {
+	for cell := range cells {
+		if r, ok := c.rosterChange(now, cell); ok {
 			changes = append(changes, r)
 		}
 	}
-	sort.Slice(changes, func(a, b int) bool { return changes[a].Zone < changes[b].Zone })
+	sort.Slice(changes, func(a, b int) bool { return changes[a].Cell.Compare(changes[b].Cell) < 0 })
 	return changes
 }
 
-// rosterChange returns the next version of a zone's roster if this process is to
+// rosterChange returns the next version of a cell's roster if this process is to
 // change it.
-func (c *Custodian) rosterChange(now time.Time, zone identifier.Zone) (leaser.Roster, bool) {
-	r := c.rosters[zone]
-	r.Zone = zone
-	mine, on := c.mine(zone)
-	wanted := c.Granter(now, zone) == c.settings.Instance
+func (c *Custodian) rosterChange(now time.Time, cell identifier.Cell) (leaser.Roster, bool) {
+	r := c.rosters[cell]
+	r.Cell = cell
+	mine, on := c.mine(cell)
+	wanted := c.Granter(now, cell) == c.settings.Instance
 	silent := func(h leaser.Holder) bool { return c.silent(now, h) }
 	switch {
 	case wanted && (!on || mine.Fenced() || slices.ContainsFunc(r.Holders, silent)):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, silent), true
-	case !wanted && on && (mine.Fenced() || c.giving(now, zone)) && c.Leases.Idle(now, zone):
+	case !wanted && on && (mine.Fenced() || c.giving(now, cell)) && c.Leases.Idle(now, cell):
 		return r.Without(func(h leaser.Holder) bool { return h == mine }), true
 	case wanted && on:
-		next := r.Without(func(h leaser.Holder) bool { return h != mine && c.over(now, zone, h) })
+		next := r.Without(func(h leaser.Holder) bool { return h != mine && c.over(now, cell, h) })
 		return next, len(next.Holders) < len(r.Holders)
 	}
 	return r, false
@@ -143,7 +150,7 @@
 
 // over reports whether nothing that a holder granted can be in force: its process
 // ended, or it was fenced, long enough ago.
-func (c *Custodian) over(now time.Time, zone identifier.Zone, h leaser.Holder) bool {
+func (c *Custodian) over(now time.Time, cell identifier.Cell, h leaser.Holder) bool {
 	longest := c.settings.Leases.Longest()
 	if h.Instance == c.settings.Instance {
 		return h.Incarnation != c.settings.Incarnation && now.Sub(c.startedAt) > longest
@@ -151,28 +158,28 @@
 	if p := c.Gossip.Peer(h.Instance); p != nil && p.Incarnation > h.Incarnation && now.Sub(p.FirstAt) > longest {
 		return true
 	}
-	since, ok := c.fencedAt[fenceKey{zone, h}]
+	since, ok := c.fencedAt[fenceKey{cell, h}]
 	return ok && now.Sub(since) > c.settings.Leases.Authority+longest+fenceReserve
 }
 
-// Unread returns the zones that this process has joined without having read what was
+// Unread returns the cells that this process has joined without having read what was
 // allocated before.
-func (c *Custodian) Unread() []identifier.Zone {
-	var unread []identifier.Zone
-	for zone := range c.rosters {
-		if h, on := c.mine(zone); on && !h.Fenced() && !c.joined[zone] {
-			unread = append(unread, zone)
+func (c *Custodian) Unread() []identifier.Cell {
+	var unread []identifier.Cell
+	for cell := range c.rosters {
+		if h, on := c.mine(cell); on && !h.Fenced() && !c.joined[cell] {
+			unread = append(unread, cell)
 		}
 	}
 	return unread
 }
 
 // Read takes in that a list of the shared objects that was asked for after this process
-// knew to be on the rosters of zones has been taken in.
-func (c *Custodian) Read(zones []identifier.Zone) {
-	for _, zone := range zones {
-		if h, on := c.mine(zone); on && !h.Fenced() {
-			c.joined[zone] = true
+// knew to be on the rosters of cells has been taken in.
+func (c *Custodian) Read(cells []identifier.Cell) {
+	for _, cell := range cells {
+		if h, on := c.mine(cell); on && !h.Fenced() {
+			c.joined[cell] = true
 		}
 	}
 }
--- a/custodian/rosters_test.go
+++ b/custodian/rosters_test.go
@@ -14,7 +14,7 @@
 // rosterObject is the shared object of zone a's roster at version 7.
 func rosterObject(t *testing.T, holders ...leaser.Holder) storer.Object {
 	t.Helper()
-	data, err := leaser.Roster{Zone: "a", Holders: holders}.Encode()
+	data, err := leaser.Roster{Cell: identifier.Cell{Zone: "a"}, Holders: holders}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,14 +42,14 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			self := custodian.Settings{Instance: "self", Incarnation: 9, Zone: "a",
+			self := custodian.Settings{Instance: "self", Incarnation: 9, Zone: "a", CellSize: custodian.CellSize,
 				Leases: leaser.Settings{Hold: 3 * time.Second, Renew: 700 * time.Millisecond, Authority: 20 * time.Second}}
 			custody := custodian.New(now, self, func(string, map[string]any) {})
 			custody.SetWorld(custodian.World{Keyed: map[identifier.Service]bool{service: true}, StoreUp: true})
 			custody.Take(now, []storer.Object{rosterObject(t, leaser.Holder{Instance: "self", Incarnation: 9}, lost)}, now)
 			now = now.Add(custodian.SettleTime)
 			custody.Heard(now, gossiper.State{Instance: "peer", Incarnation: 2, Zone: "b", Number: 1,
-				Fences: []gossiper.Fence{{Zone: "a", Holder: c.told, AgeMs: c.age.Milliseconds()}}})
+				Fences: []gossiper.Fence{{Cell: identifier.Cell{Zone: "a"}, Holder: c.told, AgeMs: c.age.Milliseconds()}}})
 			leaves := false
 			for _, r := range custody.RosterChanges(now) {
 				_, kept := r.Find("lost", 5)
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -90,6 +90,7 @@
 // model is the surroundings of the custodians.
 type model struct {
 	variant
+	cellSize   int // Each third schedule has a cell for each server or two.
 	rng        *rand.Rand
 	now        time.Time
 	events     events
@@ -179,6 +180,10 @@
 func newModel(seed int64, v variant) *model {
 	w := &model{variant: v, rng: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0)}
 	w.store.objects = map[string]storer.Object{}
+	w.cellSize = custodian.CellSize
+	if seed%3 == 0 {
+		w.cellSize = 1
+	}
 	zones := []identifier.Zone{"a", "b", "c"}
 	for n := range 3 + w.rng.Intn(3) {
 		in := &instance{name: identifier.Instance(fmt.Sprintf("instance-%d", n)), zone: zones[n%3], rate: 1}
@@ -325,7 +330,8 @@
 	in.storeUpAt = time.Time{}
 	in.custody = custodian.New(w.now, custodian.Settings{
 		Instance: in.name, Incarnation: identifier.Incarnation(in.started), Zone: in.zone, Address: string(in.name),
-		Leases: leaser.Settings{Hold: 3 * time.Second, Renew: 700 * time.Millisecond, Authority: 20 * time.Second},
+		CellSize: w.cellSize,
+		Leases:   leaser.Settings{Hold: 3 * time.Second, Renew: 700 * time.Millisecond, Authority: 20 * time.Second},
 	}, func(e string, f map[string]any) {
 		if *trace {
 			fmt.Println(w.now.Sub(time.Unix(1000, 0)), in.name, e, f)
@@ -429,14 +435,14 @@
 	}
 	for _, r := range in.custody.RosterChanges(w.now) {
 		data, _ := r.Encode()
-		w.put(in, custodian.RosterPrefix+string(r.Zone), r.Version, data)
+		w.put(in, custodian.RosterPrefix+r.Cell.String(), r.Version, data)
 	}
 	if w.leaveEarly {
-		for zone, r := range in.custody.Rosters() {
-			if in.custody.Holds(zone) && in.custody.Granter(w.now, zone) != in.name {
+		for cell, r := range in.custody.Rosters() {
+			if in.custody.Holds(cell) && in.custody.Granter(w.now, cell) != in.name {
 				left := r.Without(func(h leaser.Holder) bool { return h.Instance == in.name })
 				data, _ := left.Encode()
-				w.put(in, custodian.RosterPrefix+string(zone), r.Version, data)
+				w.put(in, custodian.RosterPrefix+cell.String(), r.Version, data)
 			}
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,16 +25,16 @@
 	Life   registrar.Life
 }
 
-// Confirmation is how old a process's knowledge of a zone's roster is.
+// Confirmation is how old a process's knowledge of a cell's roster is.
 type Confirmation struct {
-	Zone    identifier.Zone
+	Cell    identifier.Cell
 	Version identifier.Version // Of the roster.
 	AgeMs   int64
 }
 
-// Fence says how long ago, at least, a process on a zone's roster was fenced.
+// Fence says how long ago, at least, a process on a cell's roster was fenced.
 type Fence struct {
-	Zone   identifier.Zone
+	Cell   identifier.Cell
 	Holder leaser.Holder
 	AgeMs  int64
 }
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -3,8 +3,10 @@
 package identifier
 
 import (
+	"cmp"
 	"fmt"
 	"regexp"
+	"strconv"
 )
 
 // Organisation names a customer of the system (a tenant).
@@ -27,6 +29,27 @@
 // Zone names an availability zone.
 type Zone string
 
+// Cell is a part of a zone's backend servers whose keys the same processes grant, so that
+// a zone with many servers has many granters.
+type Cell struct {
+	Zone Zone
+	Part int `json:",omitempty"`
+}
+
+// String returns the cell's name: that of its zone, and the part's number if it is not the
+// first.
+func (c Cell) String() string {
+	if c.Part == 0 {
+		return string(c.Zone)
+	}
+	return string(c.Zone) + "." + strconv.Itoa(c.Part)
+}
+
+// Compare orders cells by zone and part.
+func (c Cell) Compare(other Cell) int {
+	return cmp.Or(cmp.Compare(c.Zone, other.Zone), cmp.Compare(c.Part, other.Part))
+}
+
 // BackendServer names a server that owns partitions and runs requests (an upstream).
 type BackendServer string
 
--- a/imitator/grantee.go
+++ b/imitator/grantee.go
@@ -24,6 +24,7 @@
 type granted struct {
 	rng   identifier.Range
 	epoch identifier.Epoch
+	since time.Time // Of the first grant that was renewed without a gap.
 	until time.Time
 }
 
@@ -49,8 +50,14 @@
 	for p := int(o.Range.From); p <= int(o.Range.To); p++ {
 		g.seen[identifier.Point(p)] = o.Epoch
 	}
+	since := now
+	for _, each := range g.grants {
+		if each.rng == o.Range && each.epoch == o.Epoch && now.Before(each.until) {
+			since = each.since
+		}
+	}
 	g.cut(o.Range)
-	g.grants = append(g.grants, granted{o.Range, o.Epoch, now.Add(o.Hold)})
+	g.grants = append(g.grants, granted{o.Range, o.Epoch, since, now.Add(o.Hold)})
 	return "", true
 }
 
@@ -63,10 +70,10 @@
 			continue
 		}
 		if each.rng.From < r.From {
-			kept = append(kept, granted{identifier.Range{From: each.rng.From, To: r.From - 1}, each.epoch, each.until})
+			kept = append(kept, granted{identifier.Range{From: each.rng.From, To: r.From - 1}, each.epoch, each.since, each.until})
 		}
 		if each.rng.To > r.To {
-			kept = append(kept, granted{identifier.Range{From: r.To + 1, To: each.rng.To}, each.epoch, each.until})
+			kept = append(kept, granted{identifier.Range{From: r.To + 1, To: each.rng.To}, each.epoch, each.since, each.until})
 		}
 	}
 	g.grants = kept
@@ -74,14 +81,20 @@
 
 // Holds reports whether the server may run requests of a key.
 func (g *Grantee) Holds(now time.Time, p identifier.Point) bool {
+	_, holds := g.HeldSince(now, p)
+	return holds
+}
+
+// HeldSince returns since when the server has held a key without a gap.
+func (g *Grantee) HeldSince(now time.Time, p identifier.Point) (since time.Time, holds bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, each := range g.grants {
 		if each.rng.Contains(p) && now.Before(each.until) {
-			return true
+			return each.since, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
 
 // Run counts a run of a request.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -3,7 +3,7 @@
 // it sent until when it may be in force, also if no answer came.
 //
 // Several processes may renew the same grant. One that ends a grant speaks only for
-// itself: the keys are free once every process on the zone's roster has said so.
+// itself: the keys are free once every process on the cell's roster has said so.
 // Nothing in this package does I/O or reads a clock; the clock of its times must go on
 // while the machine is suspended.
 package leaser
@@ -90,6 +90,7 @@
 // call is a grant that may be in force.
 type call struct {
 	service  identifier.Service
+	cell     identifier.Cell
 	rng      identifier.Range
 	epoch    identifier.Epoch
 	open     bool // No outcome yet.
@@ -118,7 +119,6 @@
 
 // server is one life of a backend server.
 type server struct {
-	zone      identifier.Zone
 	calls     []call
 	leases    map[segmentKey]*lease
 	open      int
@@ -158,10 +158,10 @@
 // View is what a Leaser decides from.
 type View struct {
 	Allocation *allocator.Allocation
-	// Holds reports whether this process is on a zone's roster.
-	Holds func(identifier.Zone) bool
-	// May reports whether this process may grant in a zone now.
-	May func(identifier.Zone) bool
+	// Holds reports whether this process is on a cell's roster.
+	Holds func(identifier.Cell) bool
+	// May reports whether this process may grant in a cell now.
+	May func(identifier.Cell) bool
 	// Life returns the present life of a server; ok is false if it is not registered.
 	Life func(identifier.BackendServer) (registrar.Life, bool)
 	Self allocator.Fencer
@@ -172,14 +172,13 @@
 func (l *Leaser) Due(now time.Time, v View) []Order {
 	var orders []Order
 	for _, seg := range v.Allocation.Segments {
-		if seg.Owner == "" || !v.Holds(seg.Zone) {
+		if seg.Owner == "" || !v.Holds(seg.Cell) {
 			continue
 		}
 		if life, ok := v.Life(seg.Owner); ok && life != seg.Life {
 			continue // The process that has the keys has ended.
 		}
 		s := l.server(now, seg.Owner, seg.Life)
-		s.zone = seg.Zone
 		key := segmentKey{v.Allocation.Service, seg.Range, seg.Epoch}
 		le, ok := s.leases[key]
 		if !ok {
@@ -195,7 +194,7 @@
 				le = &lease{}
 				s.leases[key] = le
 			}
-		} else if !seg.Moving && !v.May(seg.Zone) {
+		} else if !seg.Moving && !v.May(seg.Cell) {
 			continue
 		}
 		if o, ok := l.dueFor(now, s, le, key, seg); ok {
@@ -228,7 +227,7 @@
 		}
 		o.Hold, o.Handover, o.Fencing = fenceHold, "", true
 		le.granting = true
-		s.calls = append(s.calls, call{service: key.service, rng: seg.Range, epoch: key.epoch, open: true})
+		s.calls = append(s.calls, call{service: key.service, cell: seg.Cell, rng: seg.Range, epoch: key.epoch, open: true})
 	case seg.Moving:
 		// A grant under way may be carried out after the release: it is awaited first.
 		if le.released || le.releasing || now.Before(le.releaseAt) || s.openOn(key) {
@@ -241,7 +240,7 @@
 			return Order{}, false
 		}
 		le.granting = true
-		s.calls = append(s.calls, call{service: key.service, rng: seg.Range, epoch: seg.Epoch, open: true})
+		s.calls = append(s.calls, call{service: key.service, cell: seg.Cell, rng: seg.Range, epoch: seg.Epoch, open: true})
 	}
 	s.open++
 	return o, true
@@ -357,12 +356,12 @@
 	return le.released && c.answered && c.epoch <= epoch && !c.endedAt.After(le.releasedAt)
 }
 
-// Idle reports whether nothing that this process granted in a zone is in force: then it
-// may leave the zone's roster. An answered grant counts until it lapses: another process may not be able
+// Idle reports whether nothing that this process granted in a cell is in force: then it
+// may leave the cell's roster. An answered grant counts until it lapses: another process may not be able
 // to renew it, nor to take it back.
-func (l *Leaser) Idle(now time.Time, zone identifier.Zone) bool {
+func (l *Leaser) Idle(now time.Time, cell identifier.Cell) bool {
 	for _, s := range l.servers {
-		if s.zone == zone && s.inForce(now) {
+		if s.inForce(now, func(c call) bool { return c.cell == cell }) {
 			return false
 		}
 	}
@@ -378,15 +377,15 @@
 				delete(s.leases, k)
 			}
 		}
-		if len(s.leases) == 0 && s.open == 0 && !s.inForce(now) {
+		if len(s.leases) == 0 && s.open == 0 && !s.inForce(now, func(call) bool { return true }) {
 			delete(l.servers, key)
 		}
 	}
 }
 
-func (s *server) inForce(now time.Time) bool {
+func (s *server) inForce(now time.Time, concerns func(call) bool) bool {
 	for _, c := range s.calls {
-		if c.open || now.Before(c.overAt) {
+		if concerns(c) && (c.open || now.Before(c.overAt)) {
 			return true
 		}
 	}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -17,7 +17,7 @@
 )
 
 func view(s allocator.Segment) leaser.View {
-	always := func(identifier.Zone) bool { return true }
+	always := func(identifier.Cell) bool { return true }
 	return leaser.View{
 		Allocation: &allocator.Allocation{Service: "x", NextEpoch: 100, Segments: []allocator.Segment{s}},
 		Holds:      always, May: always, Self: self,
@@ -26,7 +26,7 @@
 }
 
 func segment() allocator.Segment {
-	return allocator.Segment{Range: identifier.Range{From: 0, To: 99}, Owner: "s", Life: 1, Zone: "a", Epoch: 5}
+	return allocator.Segment{Range: identifier.Range{From: 0, To: 99}, Owner: "s", Life: 1, Cell: identifier.Cell{Zone: "a"}, Epoch: 5}
 }
 
 func one(t *testing.T, l *leaser.Leaser, now time.Time, s allocator.Segment, kind leaser.OrderKind) leaser.Order {
@@ -170,7 +170,7 @@
 		}
 		now = now.Add(100 * time.Millisecond)
 	}
-	if l.Lost(now, "s", 1) || !l.Idle(now, "a") {
+	if l.Lost(now, "s", 1) || !l.Idle(now, identifier.Cell{Zone: "a"}) {
 		t.Error("lost, or counted as granted, without a try")
 	}
 }
--- a/leaser/roster.go
+++ b/leaser/roster.go
@@ -7,7 +7,7 @@
 	"github.com/turmericlift/turmericlift/identifier"
 )
 
-// Holder is a process that may grant keys to the backend servers of a zone.
+// Holder is a process that may grant keys to the backend servers of a cell.
 type Holder struct {
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
@@ -21,11 +21,11 @@
 // Fenced reports whether the holder may not grant any more.
 func (h Holder) Fenced() bool { return h.FencedOver != 0 }
 
-// Roster is the list of the processes that may have grants in force in a zone. A
+// Roster is the list of the processes that may have grants in force in a cell. A
 // process grants only while it is on the roster, and leaves it only when none of its
 // grants is in force any more that another would not renew.
 type Roster struct {
-	Zone    identifier.Zone
+	Cell    identifier.Cell
 	Holders []Holder
 	Version identifier.Version `json:"-"`
 }
@@ -43,7 +43,7 @@
 func (r Roster) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return nil, fmt.Errorf("encode roster of %s: %w", r.Zone, err)
+		return nil, fmt.Errorf("encode roster of %s: %w", r.Cell, err)
 	}
 	return data, nil
 }
@@ -60,7 +60,7 @@
 
 // Without returns the roster without the holders for which drop is true.
 func (r Roster) Without(drop func(Holder) bool) Roster {
-	kept := Roster{Zone: r.Zone, Version: r.Version}
+	kept := Roster{Cell: r.Cell, Version: r.Version}
 	for _, h := range r.Holders {
 		if !drop(h) {
 			kept.Holders = append(kept.Holders, h)
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -30,6 +30,8 @@
 	// second that it bears in it.
 	coldFor  = 1500 * time.Millisecond
 	coldRate = 20
+	// stayTime is how much longer than it has to a server that leaves goes on serving.
+	stayTime = 3 * time.Second
 	// lapseTime is the time after which the entry of a silent server is removed: three
 	// heartbeats.
 	lapseTime = 3 * heartbeat
@@ -44,24 +46,23 @@
 	keyed   bool
 	world   *world
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	name      identifier.BackendServer
-	life      registrar.Life
-	grants    *imitator.Grantee
-	heldSince map[identifier.Point]time.Time // Of keys that were asked for.
-	down      bool
-	draining  bool
-	leftAt    time.Time // When the store took in that the server leaves.
-	running   int
-	working   map[identifier.Point]int // Requests that run, by key.
-	coldTill  time.Time
-	arrivals  []time.Time // While cold.
-	slow      bool
-	loses     float64 // Share of the answers that are lost.
-	strays    float64 // Share of the answers that another one follows.
-	cut       bool    // From the store.
-	listed    bool
+	mu       sync.Mutex
+	rng      *rand.Rand
+	name     identifier.BackendServer
+	life     registrar.Life
+	grants   *imitator.Grantee
+	down     bool
+	draining bool
+	leftAt   time.Time // When the store took in that the server leaves.
+	running  int
+	working  map[identifier.Point]int // Requests that run, by key.
+	coldTill time.Time
+	arrivals []time.Time // While cold.
+	slow     bool
+	loses    float64 // Share of the answers that are lost.
+	strays   float64 // Share of the answers that another one follows.
+	cut      bool    // From the store.
+	listed   bool
 }
 
 // replace starts another process at the address: under the same name, or a new one.
@@ -73,7 +74,6 @@
 		b.name = identifier.BackendServer(fmt.Sprintf("server-%d-%d", b.number, b.life))
 	}
 	b.grants = imitator.NewGrantee(b.name)
-	b.heldSince = map[identifier.Point]time.Time{}
 	b.down, b.draining, b.leftAt, b.slow, b.loses, b.strays, b.cut = false, false, time.Time{}, false, 0, 0, false
 	b.running, b.working = 0, map[identifier.Point]int{}
 	b.chill(now)
@@ -132,7 +132,7 @@
 	}
 	b.leftAt = time.Now()
 	b.mu.Unlock()
-	sleep(ctx, drainTime+time.Second)
+	sleep(ctx, drainTime+stayTime)
 	b.mu.Lock()
 	b.down = true
 	name := b.name
@@ -143,18 +143,15 @@
 // holder names the present life. The caller holds the lock.
 func (b *backend) holder() holder { return holder{b.name, b.life} }
 
-// holds reports whether the present life holds a key, and since when it is known to.
-func (b *backend) holds(now time.Time, key identifier.Point) (holder, time.Time, bool) {
+// holds reports whether the present life holds a key, and since when.
+func (b *backend) holds(now time.Time, key identifier.Point) (by holder, since time.Time, holds bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.down || b.grants == nil || !b.grants.Holds(now, key) {
-		delete(b.heldSince, key)
+	if b.down {
 		return holder{}, time.Time{}, false
 	}
-	if _, ok := b.heldSince[key]; !ok {
-		b.heldSince[key] = now
-	}
-	return b.holder(), b.heldSince[key], true
+	since, holds = b.grants.HeldSince(now, key)
+	return b.holder(), since, holds
 }
 
 // face is a backend server as one entry instance sees it.
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -112,7 +112,10 @@
 		b := one(rng, w.backends)
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.list()
+		if !b.down && !b.draining {
+			b.chill(time.Now())
+			b.list()
+		}
 	}},
 	{"Slow", func(ctx context.Context, w *world, rng *rand.Rand) {
 		one(rng, w.backends).worsen(ctx, lasts(rng), func(b *backend, on bool) { b.slow = on })
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +38,7 @@
 	calmTill time.Time // When the one before was.
 	termAt   time.Time // When it got SIGTERM; zero before.
 	starts   int
+	closed   bool // Starts no process any more.
 }
 
 // entryMemoryMB is the memory limit that the settings name.
@@ -62,22 +65,33 @@
 // freePorts returns ports that were free a moment ago.
 func freePorts(n int) ([]uint16, error) {
 	ports := make([]uint16, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for tries := 0; len(ports) < n; tries++ {
+		port := uint16(leastPort + rand.Intn(mostPort-leastPort)) // Not from the seed: several soaks may run at once.
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(int(port))))
+		switch {
+		case err == nil:
+			defer func() { _ = l.Close() }()
+			ports = append(ports, port)
+		case tries == mostTries:
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, uint16(l.Addr().(*net.TCPAddr).Port))
 	}
 	return ports, nil
 }
 
+// Ports from leastPort to mostPort are below those that the kernel gives to outgoing
+// connections, so none of them is taken while a process is down.
+const (
+	leastPort = 12000
+	mostPort  = 32000
+	mostTries = 100
+)
+
 // start runs the program. Its log goes to a file of its own in the soak's folder.
 func (e *entry) start(now time.Time) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cmd != nil {
+	if e.cmd != nil || e.closed {
 		return nil
 	}
 	e.starts++
@@ -141,7 +155,9 @@
 
 // stop ends the process for good.
 func (e *entry) stop(ctx context.Context, now time.Time) {
-	e.signal(now, syscall.SIGCONT)
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	e.signal(now, syscall.SIGKILL)
 	for {
 		e.mu.Lock()
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -250,8 +250,12 @@
 	if !f.keyed {
 		return
 	}
+	_, mine, _ := f.holds(now, r.Key)
 	for _, other := range w.backends {
 		if theirs, since, holds := other.holds(now, r.Key); holds && theirs != by {
+			if mine.After(since) {
+				since = mine
+			}
 			w.judge.overlap(now, r.Key, by, theirs, since)
 		}
 	}
