gossiper, transporter, mirrorer: what instances and store tell an instance grows slower than their number

Ruled out: requests' bytes, about a quarter. Change: states are arrays in place of maps, as datagrams; echoes, confirmations and fences come with every n/8th state; releases, lost servers and heat go to the planner only.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -18,6 +18,7 @@
 
 // Segment is a range of keys with one owner.
 type Segment struct {
+	_     struct{} `cbor:",toarray"`
 	Range identifier.Range
 	Owner identifier.BackendServer `json:",omitempty"` // Empty: nobody owns the keys.
 	Life  registrar.Life           `json:",omitempty"` // The process of the owner that the keys were given to.
@@ -37,6 +38,7 @@
 
 // Fencer is the process that may use a segment's fence.
 type Fencer struct {
+	_           struct{} `cbor:",toarray"`
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 }
@@ -111,6 +113,7 @@
 
 // Release says that a granter has nothing more in force on keys of an owner.
 type Release struct {
+	_        struct{} `cbor:",toarray"`
 	Service  identifier.Service
 	Range    identifier.Range
 	Epoch    identifier.Epoch
--- a/allocator/delta.go
+++ b/allocator/delta.go
@@ -9,6 +9,7 @@
 
 // Delta is the difference between two versions of an allocation.
 type Delta struct {
+	_         struct{} `cbor:",toarray"`
 	Service   identifier.Service
 	Base      identifier.Version
 	Version   identifier.Version
--- a/allocator/heat.go
+++ b/allocator/heat.go
@@ -32,6 +32,7 @@
 
 // Sketch is the distribution of requests over keys, as ranges of about equal rate.
 type Sketch struct {
+	_     struct{}           `cbor:",toarray"`
 	Ends  []identifier.Point // The last key of each range, in order.
 	Rates []float32          // Requests a second in each range.
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/turmericlift/turmericlift/limiter"
 	"github.com/turmericlift/turmericlift/mirrorer"
 	"github.com/turmericlift/turmericlift/quarantiner"
+	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/scheduler"
 	"github.com/turmericlift/turmericlift/storer"
@@ -84,10 +85,17 @@
 	// watchWait is the time that a watch waits: the connection itself tells sooner that the
 	// platform is gone.
 	watchWait = 20 * time.Second
-	// shortWatchWait is the time that one of the watches waits. When the store forgets its
-	// history, watches that wait hear nothing until they are made anew; this one tells in
-	// time for the bound on configurations.
+	// shortWatchWait is the time that one of the watches waits at the planner and at a share
+	// of the others. When the store forgets its history, watches that wait hear nothing until
+	// they are made anew; these tell all instances in time for the bound on configurations.
 	shortWatchWait = 2 * time.Second
+	// gatherTime is the time between an event and the next watch: changes come in groups,
+	// and each answer of a watch is a call.
+	gatherTime = 100 * time.Millisecond
+	// listEvery is the time between two lists of the kind that is not watched.
+	listEvery = 4 * time.Second
+	// mostListEvery bounds that time: well within grantAuthority.
+	mostListEvery = 8 * time.Second
 )
 
 // Conductor is one instance.
@@ -121,14 +129,19 @@
 	pushed    []push    // Written a short while ago, told to the others.
 	behindAt  time.Time // Since when another instance has newer objects.
 	crashRuns uint64
-	pools     map[poolKey]*exchanger.Pool
-	orders    map[poolKey]*exchanger.Pool
-	verified  map[identifier.BackendServer]verification
-	verifyAt  time.Time // When a list of servers is wanted; zero if none is.
-	leaving   bool
-	warm      bool // Was ready once.
-	peersBusy map[string]bool
-	done      chan error
+	// historyLost is the kind whose watch found the store's history gone; listedAfter is the
+	// revision of its list after that.
+	historyLost storer.ObjectKind
+	listedAfter identifier.Version
+	wasPlanner  bool
+	pools       map[poolKey]*exchanger.Pool
+	orders      map[poolKey]*exchanger.Pool
+	verified    map[identifier.BackendServer]verification
+	verifyAt    time.Time // When a list of servers is wanted; zero if none is.
+	leaving     bool
+	warm        bool // Was ready once.
+	peersBusy   map[string]bool
+	done        chan error
 }
 
 // push is what this instance has written: an object, or an allocation's difference.
@@ -174,18 +187,34 @@
 		c.custody.Gossip.Hint(seed)
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
-		wait := watchWait
-		switch kind {
-		case kinds.Config:
-			wait = shortWatchWait
-		case kinds.Own:
-			wait = 0 // Whoever writes these tells the others.
-		}
-		c.mirrors[kind] = mirrorer.New(kind, store, wait, clock, c.changed, c.storeEnded, c.storePause)
+		c.mirrors[kind] = mirrorer.New(kind, store, c.pace, clock, c.changed, c.storeEnded, c.storePause)
 	}
 	return c
 }
 
+// pace returns how this instance follows a kind of objects now. The more instances there
+// are, the more calls each change would cost them all.
+func (c *Conductor) pace(kind storer.ObjectKind) mirrorer.Pace {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	share := time.Duration(c.custody.Gossip.Share(now))
+	pace := mirrorer.Pace{Wait: watchWait, Gather: gatherTime * share}
+	switch {
+	case kind == c.kinds.Config && (c.looksOften(int(share)) || c.custody.Planner(now) == c.settings.Instance):
+		pace.Wait = shortWatchWait
+	case kind == c.kinds.Own: // Whoever writes these tells the others.
+		pace.Wait, pace.List = 0, min(listEvery*share, mostListEvery)
+	}
+	return pace
+}
+
+// looksOften reports whether this instance is one of the share of all that look out for a
+// history that is gone.
+func (c *Conductor) looksOften(share int) bool {
+	return ranker.Weight("history", string(c.settings.Instance))%uint64(share) == 0
+}
+
 // believed logs a change of what this instance believes of the custody of keys.
 func (c *Conductor) believed(event string, fields map[string]any) {
 	c.log.WithFields(fields).WithField("Subsystem", "custody").Info(event)
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -52,18 +52,18 @@
 		now := c.clock()
 		c.mu.Lock()
 		c.scheduler.Heard(c.othersRunning(now))
-		state := c.custody.Gossip.Compose(now, c.state(now))
+		state := c.custody.Gossip.Compose(now, c.state(now, c.custody.Gossip.Full(now)))
 		targets := c.custody.Gossip.Targets(now)
 		planner := c.custody.Planner(now)
-		withHeat := now.Sub(heatAt) >= heatEvery
-		var heat map[identifier.Service]allocator.Sketch
-		if withHeat && planner != c.settings.Instance {
-			heatAt = now
-			heat = c.sketches(now)
-		}
 		plannerAddress := ""
+		forPlanner := state
 		if p := c.custody.Gossip.Peer(planner); p != nil {
 			plannerAddress = p.Address
+			forPlanner.Releases, forPlanner.Lost = c.custody.Releases(now), c.custody.Lost(now)
+			if now.Sub(heatAt) >= heatEvery {
+				heatAt = now
+				forPlanner.Heat = c.sketches(now)
+			}
 		}
 		for _, p := range c.custody.Gossip.Silent(now) {
 			c.tasks.Go(func(context.Context) { c.transport.Drop(p) })
@@ -74,10 +74,9 @@
 			c.log.WithField("Error", err).Error("state does not encode")
 			return
 		}
-		hot := plain
-		if heat != nil {
-			state.Heat = heat
-			if hot, err = cbor.Marshal(state); err != nil {
+		planning := plain
+		if plannerAddress != "" {
+			if planning, err = cbor.Marshal(forPlanner); err != nil {
 				c.log.WithField("Error", err).Error("state does not encode")
 				return
 			}
@@ -85,7 +84,7 @@
 		for _, address := range targets {
 			data := plain
 			if address == plannerAddress {
-				data = hot
+				data = planning
 			}
 			c.sendTo(address, data)
 		}
@@ -113,11 +112,12 @@
 	})
 }
 
-// state returns what this instance tells the others. The caller holds the lock.
-func (c *Conductor) state(now time.Time) gossiper.State {
-	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp()}
-	s.Confirmed, s.Fences = c.custody.Confirmations(now), c.custody.Fences(now)
-	s.Releases, s.Lost = c.custody.Releases(now), c.custody.Lost(now)
+// state returns what this instance tells all others. The caller holds the lock.
+func (c *Conductor) state(now time.Time, full bool) gossiper.State {
+	s := gossiper.State{Leaving: c.leaving, StoreUp: c.custody.StoreUp(), ListedAfter: c.listedAfter}
+	if full {
+		s.Echoes, s.Confirmed, s.Fences = c.custody.Gossip.Echoes(now), c.custody.Confirmations(now), c.custody.Fences(now)
+	}
 	for id, life := range c.view.replaced {
 		s.Replaced = append(s.Replaced, gossiper.LostServer{Server: id, Life: life})
 	}
@@ -224,6 +224,7 @@
 	for _, r := range s.Replaced {
 		c.replace(now, r.Server, r.Life)
 	}
+	c.relist(s.ListedAfter)
 	if s.Newest <= c.custody.Newest() {
 		c.behindAt = time.Time{}
 	} else if c.behindAt.IsZero() {
@@ -232,6 +233,20 @@
 	return true
 }
 
+// relist has everything that was read before a revision of the store listed anew: an
+// instance has found the store's history before it gone. The caller holds the lock.
+func (c *Conductor) relist(after identifier.Version) {
+	if after <= c.listedAfter {
+		return
+	}
+	c.listedAfter = after
+	for kind, m := range c.mirrors {
+		if copied, _ := m.Copy(); kind != c.kinds.Own && copied.Revision < after {
+			m.Refresh()
+		}
+	}
+}
+
 // copyRequest asks for copies that are newer than the ones named.
 type copyRequest struct {
 	Revisions map[storer.ObjectKind]identifier.Version
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -39,6 +39,11 @@
 		up := c.custody.StoreUp()
 		settled := now.Sub(c.startedAt) >= custodian.SettleTime
 		plans := c.custody.Plans(now)
+		planner := c.custody.Planner(now) == c.settings.Instance
+		if planner && !c.wasPlanner {
+			c.mirrors[c.kinds.Config].Refresh() // Its present watch waits for long.
+		}
+		c.wasPlanner = planner
 		c.mu.Unlock()
 		if !up {
 			return
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -73,6 +73,10 @@
 	now := c.clock()
 	c.mu.Lock()
 	copied, asked := c.mirrors[kind].Copy() // Under the lock: the newest copy is read last.
+	if c.historyLost == kind {
+		c.historyLost = ""
+		c.relist(copied.Revision)
+	}
 	switch kind {
 	case c.kinds.Config:
 		c.readConfig(copied.Objects)
@@ -315,11 +319,7 @@
 	}
 	if errors.Is(err, storer.ErrHistoryGone) {
 		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store dropped its history, everything is listed anew")
-		for other, m := range c.mirrors {
-			if other != kind {
-				m.Refresh()
-			}
-		}
+		c.historyLost = kind // Its list, which comes next, says from where on the others are to be listed.
 		return
 	}
 	if c.view.storeDownAt.IsZero() {
--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -473,7 +473,7 @@
 // gossip sends an instance's state to the others; a few are lost.
 func (w *model) gossip(in *instance) {
 	state := in.custody.Gossip.Compose(w.now, gossiper.State{
-		StoreUp: in.custody.StoreUp(), Confirmed: in.custody.Confirmations(w.now), Fences: in.custody.Fences(w.now),
+		StoreUp: in.custody.StoreUp(), Confirmed: in.custody.Confirmations(w.now), Fences: in.custody.Fences(w.now), Echoes: in.custody.Gossip.Echoes(w.now),
 		Releases: in.custody.Releases(w.now), Lost: in.custody.Lost(w.now), Newest: in.custody.Newest(),
 	})
 	shared := map[string]storer.Object{}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -21,12 +21,14 @@
 
 // LostServer names a life of a backend server that does not answer.
 type LostServer struct {
+	_      struct{} `cbor:",toarray"`
 	Server identifier.BackendServer
 	Life   registrar.Life
 }
 
 // Confirmation is how old a process's knowledge of a cell's roster is.
 type Confirmation struct {
+	_       struct{} `cbor:",toarray"`
 	Cell    identifier.Cell
 	Version identifier.Version // Of the roster.
 	AgeMs   int64
@@ -34,6 +36,7 @@
 
 // Fence says how long ago, at least, a process on a cell's roster was fenced.
 type Fence struct {
+	_      struct{} `cbor:",toarray"`
 	Cell   identifier.Cell
 	Holder leaser.Holder
 	AgeMs  int64
@@ -41,13 +44,16 @@
 
 // Echo says which state of another instance was heard last.
 type Echo struct {
+	_           struct{} `cbor:",toarray"`
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 	Number      uint64
 }
 
-// State is what an instance tells the others.
+// State is what an instance tells the others. Echoes, Confirmed and Fences come with full
+// states only; Releases, Lost and Heat go to the planner only.
 type State struct {
+	_           struct{} `cbor:",toarray"`
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 	Zone        identifier.Zone
@@ -63,6 +69,9 @@
 	Replaced    []LostServer // Lives whose address another backend server has.
 	Crashes     []quarantiner.Crash
 	Heat        map[identifier.Service]allocator.Sketch
+	// ListedAfter is a revision of the platform's store before which its history is gone:
+	// what was read before is to be listed anew, since watches may have missed changes.
+	ListedAfter identifier.Version
 	// Newest is the highest version among the system's own objects that the sender has.
 	Newest  identifier.Version
 	Objects []storer.Object                  // That the sender has just written.
@@ -123,12 +132,31 @@
 	g.sentAt[g.number%sentKept] = now
 	s.Instance, s.Incarnation, s.Zone, s.Address = g.self.Instance, g.self.Incarnation, g.self.Zone, g.self.Address
 	s.Number = g.number
-	for _, p := range g.Live(now) {
-		s.Echoes = append(s.Echoes, Echo{p.Instance, p.Incarnation, p.Number})
-	}
 	return s
 }
 
+// Echoes says which states of the others were heard last.
+func (g *Gossiper) Echoes(now time.Time) []Echo {
+	live := g.Live(now)
+	echoes := make([]Echo, 0, len(live))
+	for _, p := range live {
+		echoes = append(echoes, Echo{Instance: p.Instance, Incarnation: p.Incarnation, Number: p.Number})
+	}
+	return echoes
+}
+
+// fullStates is the number of instances up to which each state is full; among more of
+// them full ones are so much rarer, since their number grows with the square.
+const fullStates = 8
+
+// Share returns in how many states one is to be full, and by how much longer than in a
+// small installation other regular work that each instance does may wait.
+func (g *Gossiper) Share(now time.Time) int { return 1 + len(g.Live(now))/fullStates }
+
+// Full reports whether the next state is to be full: with what others need only now and
+// then.
+func (g *Gossiper) Full(now time.Time) bool { return (g.number+1)%uint64(g.Share(now)) == 0 }
+
 // Heard takes in a state and reports whether it is news.
 func (g *Gossiper) Heard(now time.Time, s State) bool {
 	if s.Instance == g.self.Instance {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -19,7 +19,7 @@
 	a, b := pair()
 	b.Heard(start.Add(10*time.Millisecond), a.Compose(start, gossiper.State{}))
 	a.Compose(start.Add(300*time.Millisecond), gossiper.State{}) // Lost.
-	late := b.Compose(start.Add(350*time.Millisecond), gossiper.State{})
+	late := b.Compose(start.Add(350*time.Millisecond), gossiper.State{Echoes: b.Echoes(start.Add(350 * time.Millisecond))})
 	a.Heard(start.Add(5*time.Second), late)
 	if p := a.Peer("b"); !p.MadeAfter.Equal(start) {
 		t.Errorf("made after %s, want %s", p.MadeAfter.Sub(start), 0*time.Second)
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -32,6 +32,7 @@
 // Cell is a part of a zone's backend servers whose keys the same processes grant, so that
 // a zone with many servers has many granters.
 type Cell struct {
+	_    struct{} `cbor:",toarray"`
 	Zone Zone
 	Part int `json:",omitempty"`
 }
--- a/leaser/roster.go
+++ b/leaser/roster.go
@@ -9,6 +9,7 @@
 
 // Holder is a process that may grant keys to the backend servers of a cell.
 type Holder struct {
+	_           struct{} `cbor:",toarray"`
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 	// FencedOver is the version of the roster that was replaced by one with this holder
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -35,6 +35,13 @@
 	return newest
 }
 
+// Pace is how a kind is followed.
+type Pace struct {
+	Wait   time.Duration // That a watch waits; 0: the kind is not watched but listed.
+	Gather time.Duration // Between an event and the next watch.
+	List   time.Duration // Between two lists of a kind that is not watched.
+}
+
 // Mirror is the copy of one kind. It is safe for concurrent use.
 type Mirror struct {
 	kind     storer.ObjectKind
@@ -43,7 +50,7 @@
 	changed  func(storer.ObjectKind)
 	ended    func(storer.ObjectKind, error)
 	wait     func(ctx context.Context, failures int) // Before another try.
-	watch    time.Duration                           // That a watch waits; 0: lists only.
+	pace     func(storer.ObjectKind) Pace
 
 	mu       sync.Mutex
 	objects  map[string]storer.Object
@@ -54,13 +61,12 @@
 }
 
 // New returns a Mirror that holds nothing. changed is called after each change; ended
-// with the error of each call, nil if it worked; wait pauses after one that failed. A
-// watch waits for the time watch; if that is 0, the kind is not watched but listed every
-// listEvery, and whoever writes its objects tells the others.
-func New(kind storer.ObjectKind, p Platform, watch time.Duration, clock func() time.Time, changed func(storer.ObjectKind),
+// with the error of each call, nil if it worked; wait pauses after one that failed. pace
+// is asked before each call.
+func New(kind storer.ObjectKind, p Platform, pace func(storer.ObjectKind) Pace, clock func() time.Time, changed func(storer.ObjectKind),
 	ended func(storer.ObjectKind, error), wait func(context.Context, int)) *Mirror {
 	return &Mirror{
-		kind: kind, platform: p, watch: watch, clock: clock, changed: changed, ended: ended, wait: wait,
+		kind: kind, platform: p, pace: pace, clock: clock, changed: changed, ended: ended, wait: wait,
 		objects: map[string]storer.Object{}, done: make(chan error, 1),
 	}
 }
@@ -105,33 +111,26 @@
 	}
 	worked()
 	m.Take(Copy{m.kind, page.Revision, page.Objects}, asked)
-	if m.watch == 0 {
-		sleep(ctx, listEvery)
-		return ctx.Err()
-	}
 	from := page.Revision
 	for {
-		events, err := m.platform.Watch(ctx, m.kind, from, m.watch)
+		pace := m.pace(m.kind)
+		if pace.Wait == 0 {
+			sleep(ctx, pace.List)
+			return ctx.Err()
+		}
+		events, err := m.platform.Watch(ctx, m.kind, from, pace.Wait)
 		if err != nil {
 			return err
 		}
 		worked()
 		from = max(from, events.Revision)
 		m.apply(events)
-		if len(events.Events) > 0 && !sleep(ctx, gatherTime) {
+		if len(events.Events) > 0 && !sleep(ctx, pace.Gather) {
 			return ctx.Err()
 		}
 	}
 }
 
-const (
-	// listEvery is the time between two lists of a kind that is not watched.
-	listEvery = 4 * time.Second
-	// gatherTime is the time between an event and the next watch: changes come in groups,
-	// and each answer of a watch is a call.
-	gatherTime = 100 * time.Millisecond
-)
-
 // sleep waits and reports whether ctx goes on.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -43,7 +43,9 @@
 }
 
 func newMirror(s *script, changed chan struct{}) *mirrorer.Mirror {
-	return mirrorer.New("k", s, time.Second, time.Now, func(storer.ObjectKind) { changed <- struct{}{} },
+	return mirrorer.New("k", s, func(storer.ObjectKind) mirrorer.Pace {
+		return mirrorer.Pace{Wait: time.Second, Gather: time.Millisecond}
+	}, time.Now, func(storer.ObjectKind) { changed <- struct{}{} },
 		func(storer.ObjectKind, error) {}, func(context.Context, int) {})
 }
 
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -1,9 +1,9 @@
 // Package transporter carries messages and requests between instances over QUIC.
 //
-// A control message is one unidirectional stream; a request and its answer are one
+// A control message is a datagram if it fits one, else one unidirectional stream; a request and its answer are one
 // bidirectional stream, so that answers are matched to requests by the transport
-// and never by their order. Each side of a stream is one CBOR value that ends with
-// the stream: a message that is cut does not decode.
+// and never by their order. A datagram, or each side of a stream, is one CBOR value: a
+// message that is cut does not decode.
 package transporter
 
 import (
@@ -109,7 +109,7 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: dialTimeout,
-		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: maxStreams,
+		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: maxStreams, EnableDatagrams: true,
 	}
 }
 
@@ -136,12 +136,23 @@
 	t.done <- err
 }
 
-// serve reads both kinds of streams of a connection until it ends.
+// serve reads datagrams and both kinds of streams of a connection until it ends.
 func (t *Transport) serve(conn *quic.Conn) {
+	t.tasks.Go(func(ctx context.Context) { t.receiveDatagrams(ctx, conn) })
 	t.tasks.Go(func(ctx context.Context) { t.acceptMessages(ctx, conn) })
 	t.tasks.Go(func(ctx context.Context) { t.acceptRequests(ctx, conn) })
 }
 
+func (t *Transport) receiveDatagrams(ctx context.Context, conn *quic.Conn) {
+	for {
+		data, err := conn.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		t.handler.HandleMessage(data)
+	}
+}
+
 func (t *Transport) acceptMessages(ctx context.Context, conn *quic.Conn) {
 	for {
 		stream, err := conn.AcceptUniStream(ctx)
@@ -198,6 +209,13 @@
 	if err != nil {
 		return err
 	}
+	var tooLarge *quic.DatagramTooLargeError
+	if err := conn.SendDatagram(data); !errors.As(err, &tooLarge) {
+		if err != nil {
+			return &UnreachableError{address, err}
+		}
+		return nil
+	}
 	stream, err := conn.OpenUniStream()
 	if err != nil {
 		return &UnreachableError{address, err}
