scheduler, conductor, allocator, limiter: keys of leaving servers, chance, repeats

Change: a release goes over any connection (whoever answers at the address, the life that it is for holds the keys no more; the schedules have releases reach other lives); an owner that leaves gets requests for its keys for 0.3 of the time that it may; a server's rate must lie 2.5 standard deviations above the mean's 1.3; four tenths of the repeats are for requests that may not be repeated or have no other try; callers whose key has no owner come back after a second, not a tenth.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// TestChanceMovesNothing: the load is even, on 175 servers that get eleven requests a second
+// each, so that some show much more than the mean by chance at any moment. No key may move
+// for that.
+func TestChanceMovesNothing(t *testing.T) {
+	rng := rand.New(rand.NewSource(5))
+	in := input(servers(175, 24), nil)
+	a := settle(t, nil, in)
+	counter := allocator.NewCounter(start)
+	const perSecond, step = 175 * 11, 100 * time.Millisecond
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(step) {
+		for range int(perSecond * step.Seconds()) {
+			counter.Add(identifier.Point(rng.Intn(identifier.Points)))
+		}
+		in.Heat = allocator.NewHeat([]allocator.Sketch{counter.Sketch(now)})
+		if now.Sub(start) > 5*time.Second && allocator.Plan(a, in) != nil {
+			t.Fatalf("keys move %s after the start", now.Sub(start))
+		}
+	}
+}
+
 // TestBesideStuckServer: the load is one key with three times what any server bears, and
 // another server whose many keys have twice what it bears. The first cannot be helped; the
 // second must be all the same, to the 1.3 times of the mean that balance lets stand.
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"math"
 	"sort"
 
 	"github.com/turmericlift/turmericlift/identifier"
@@ -11,8 +12,11 @@
 	// second.
 	mostMoving = 8
 	// overMean is the use of a server, as a multiple of the mean, from which it gives
-	// keys away. Differences below are within what a second's requests show by chance.
+	// keys away: a move costs more than smaller differences.
 	overMean = 1.3
+	// chance is the number of standard deviations of what its requests show by chance that a
+	// server's rate must lie above that: among hundreds of servers some lie two above.
+	chance = 2.5
 	// mostOver is the load that is moved at most, as a multiple of what should be.
 	mostOver = 2
 	// leastUse is the use from which a server gives keys away: below, its requests do not
@@ -85,6 +89,9 @@
 		if p.use(high) < max(overMean*mean, leastUse) {
 			return false
 		}
+		if p.use(high) < overMean*mean+chance*p.deviation(high) {
+			continue // Another one may have more requests, and less chance.
+		}
 		if p.mark(high, low, mean) || p.promote(high) {
 			return true
 		}
@@ -139,6 +146,12 @@
 
 func (p *plan) use(id identifier.BackendServer) float64 { return p.load[id] / p.Servers[id].Capacity }
 
+// deviation is the standard deviation of a server's use, as its faded count of requests
+// shows it if they come independently.
+func (p *plan) deviation(id identifier.BackendServer) float64 {
+	return math.Sqrt(p.load[id]*math.Ln2/(2*heatHalfLife.Seconds())) / p.Servers[id].Capacity
+}
+
 // fullest returns the server that is used most.
 func (p *plan) fullest() identifier.BackendServer {
 	servers, _ := p.byUse()
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -131,6 +131,7 @@
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		PeerAddress: at(s.IP, s.PeerPort), MetricsAddress: at(s.IP, s.MetricsPort),
 		Heartbeat: s.Heartbeat, MaxHold: s.Bounds.MaxHold, GraceTime: s.Bounds.GraceTime,
+		DrainTime: s.Bounds.DrainTime, ClearTime: s.Bounds.ClearTime,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetryExtra: s.Bounds.RetryExtra,
 		ColdOvershoot: s.Bounds.ColdOvershoot, ColdSlack: s.Bounds.ColdSlack,
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -59,6 +59,8 @@
 	Heartbeat      time.Duration
 	MaxHold        time.Duration
 	GraceTime      time.Duration
+	DrainTime      time.Duration
+	ClearTime      time.Duration
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryExtra     float64
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -90,7 +90,12 @@
 		Method: http.MethodPost, Target: path, Host: key.address, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}, c.codec.Names.ExpectServer: {string(o.Server)}},
 	}
-	a, err := c.sendVerified(ctx, o, r, orders, data, verified)
+	var a exchanger.Answer
+	if o.Kind == leaser.Release {
+		a, err = orders.Do(ctx, r)
+	} else {
+		a, err = c.sendVerified(ctx, o, r, orders, data, verified)
+	}
 	var unsent *exchanger.UnsentError
 	switch {
 	case errors.Is(err, exchanger.ErrYoung):
@@ -110,10 +115,12 @@
 	}
 }
 
-// sendVerified sends an order over a connection that leads to the life that the order
+// sendVerified sends a grant over a connection that leads to the life that the grant
 // is for: one that is older than a list which shows that life, by the time in which a
-// new life, or another server at the address, would have shown. Orders name no server,
-// so anyone who has the address by now would carry them out.
+// new life, or another server at the address, would have shown. Grants name no server,
+// so anyone who has the address by now would carry them out. A release needs no such
+// connection: whoever answers it at the address, the life that it is for holds the keys no
+// more, and a server that leaves ends its connections after each answer.
 func (c *Conductor) sendVerified(ctx context.Context, o leaser.Order, r *exchanger.Request, orders, data *exchanger.Pool,
 	verified verification) (exchanger.Answer, error) {
 	before := verified.asked.Add(-c.settings.Heartbeat - lifeLag)
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -144,12 +144,12 @@
 }
 
 // MayRepeat implements forwarder.Core.
-func (c *Conductor) MayRepeat(service identifier.Service) bool {
+func (c *Conductor) MayRepeat(service identifier.Service, urgent bool) bool {
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	repeats := c.repeats[service]
-	return repeats != nil && repeats.Take(now, c.custody.Gossip.Count(now))
+	return repeats != nil && repeats.Take(now, c.custody.Gossip.Count(now), urgent)
 }
 
 // Quarantined implements forwarder.Core.
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -31,9 +31,9 @@
 	seen        map[identifier.BackendServer]seenEntry
 	removed     map[identifier.BackendServer]time.Time      // Entries that may come back: until when they hold.
 	replaced    map[identifier.BackendServer]registrar.Life // Lives whose address another server has.
-	evacuated   map[identifier.Zone]bool
-	coldTill    map[identifier.Zone]time.Time // Of zones that came back from an evacuation.
-	entriesAt   time.Time                     // When a new backend server was seen last.
+	evacuated   map[identifier.Zone]time.Time               // Since when that is known.
+	coldTill    map[identifier.Zone]time.Time               // Of zones that came back from an evacuation.
+	entriesAt   time.Time                                   // When a new backend server was seen last.
 	heat        map[identifier.Service]*allocator.Heat
 	badEntries  map[string]identifier.Version
 	storeDownAt time.Time // Start of the present outage; zero while the platform answers.
@@ -45,12 +45,13 @@
 	version  identifier.Version
 	life     registrar.Life
 	coldTill time.Time
+	leftAt   time.Time // When it was first seen to leave.
 }
 
 func newView() view {
 	return view{
 		entries: map[identifier.BackendServer]registrar.Entry{}, seen: map[identifier.BackendServer]seenEntry{},
-		removed: map[identifier.BackendServer]time.Time{}, evacuated: map[identifier.Zone]bool{},
+		removed: map[identifier.BackendServer]time.Time{}, evacuated: map[identifier.Zone]time.Time{},
 		coldTill:   map[identifier.Zone]time.Time{},
 		replaced:   map[identifier.BackendServer]registrar.Life{},
 		heat:       map[identifier.Service]*allocator.Heat{},
@@ -137,7 +138,14 @@
 			if e.ColdLeft > 0 {
 				coldTill = now.Add(e.ColdLeft + coldReserve)
 			}
-			c.view.seen[e.ID] = seenEntry{e.Version, e.Life, coldTill}
+			leftAt := s.leftAt
+			if s.life != e.Life || e.Usable() {
+				leftAt = time.Time{}
+			}
+			if !e.Usable() && leftAt.IsZero() {
+				leftAt = now
+			}
+			c.view.seen[e.ID] = seenEntry{e.Version, e.Life, coldTill, leftAt}
 			c.log.WithFields(logrus.Fields{"Server": e.ID, "Life": e.Life, "Service": e.Service, "Zone": e.Zone,
 				"Draining": e.State == registrar.Draining, "ColdMs": e.ColdLeft.Milliseconds(), "Version": e.Version}).Info("backend server")
 		}
@@ -173,16 +181,18 @@
 }
 
 func (c *Conductor) readEvacuations(now time.Time, objects []storer.Object) {
-	evacuated := map[identifier.Zone]bool{}
+	evacuated := map[identifier.Zone]time.Time{}
 	for _, o := range objects {
 		zone := identifier.Zone(o.Name)
-		evacuated[zone] = true
-		if !c.view.evacuated[zone] {
+		since, known := c.view.evacuated[zone]
+		evacuated[zone] = since
+		if !known {
+			evacuated[zone] = now
 			c.log.WithFields(logrus.Fields{"Zone": zone, "Version": o.Version}).Info("zone is taken out")
 		}
 	}
 	for zone := range c.view.evacuated {
-		if !evacuated[zone] {
+		if _, still := evacuated[zone]; !still {
 			c.view.coldTill[zone] = now
 			c.log.WithField("Zone", zone).Info("zone is taken back")
 		}
@@ -211,8 +221,46 @@
 // excluded reports whether a backend server gets no new work: its zone is taken out, or
 // its process has ended and another server has its address.
 func (c *Conductor) excluded(e registrar.Entry) bool {
+	_, out := c.view.evacuated[e.Zone]
+	return out || c.ended(e)
+}
+
+// ended reports whether a backend server's process has ended, since another one has its
+// address.
+func (c *Conductor) ended(e registrar.Entry) bool {
 	life, ok := c.view.replaced[e.ID]
-	return c.view.evacuated[e.Zone] || ok && life == e.Life
+	return ok && life == e.Life
+}
+
+// leaveShare is the part of the time in which a server that leaves may still get requests
+// that is used for those whose keys it owns: the rest is for the way of the news.
+const leaveShare = 0.3
+
+// ownsUntil returns until when a backend server that gets no new work gets requests for
+// keys that it still owns; zero if it gets none.
+func (c *Conductor) ownsUntil(e registrar.Entry) time.Time {
+	share := func(d time.Duration) time.Duration { return time.Duration(leaveShare * float64(d)) }
+	since, out := c.view.evacuated[e.Zone]
+	draining := !e.Usable()
+	leftAt := c.view.seen[e.ID].leftAt
+	switch {
+	case c.ended(e):
+		return time.Time{}
+	case out && draining:
+		return earlier(since.Add(share(c.settings.ClearTime)), leftAt.Add(share(c.settings.DrainTime)))
+	case out:
+		return since.Add(share(c.settings.ClearTime))
+	case draining:
+		return leftAt.Add(share(c.settings.DrainTime))
+	}
+	return time.Time{}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // coldUntil returns until when a backend server counts as cold.
@@ -252,7 +300,7 @@
 	for _, e := range c.view.entries {
 		s := c.view.table.Services[e.Service]
 		candidates = append(candidates, scheduler.Candidate{
-			Entry: e, Excluded: c.excluded(e), ColdTill: c.coldUntil(e),
+			Entry: e, Excluded: c.excluded(e), OwnsTill: c.ownsUntil(e), ColdTill: c.coldUntil(e),
 			ColdRate: (s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
 		})
 		limit := max(s.MaxConnections/count, 1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -45,8 +45,8 @@
 	// Replaced takes in that another backend server answers at a server's address.
 	Replaced(e registrar.Entry, by identifier.BackendServer)
 	// MayRepeat reports whether another request to the service is within the bound of
-	// repeats, and counts it.
-	MayRepeat(service identifier.Service) bool
+	// repeats, and counts it. A part of the bound is for urgent requests.
+	MayRepeat(service identifier.Service, urgent bool) bool
 	Quarantined(f answerer.Fingerprint) bool
 	// Broke takes in that a connection broke while a request ran; Completed that one ran to
 	// its end.
@@ -263,7 +263,7 @@
 		if d.Reason != scheduler.None {
 			return f.refused(fl, d)
 		}
-		if fl.sends > 0 && !f.core.MayRepeat(fl.service) {
+		if fl.sends > 0 && !f.core.MayRepeat(fl.service, fl.urgent()) {
 			f.core.Finished(d.Server, scheduler.Report{Outcome: scheduler.Cancelled})
 			return &result{code: answerer.CodeQueueFull, status: http.StatusServiceUnavailable, retryAfter: unknownRetry, detail: "too many repeats"}
 		}
@@ -273,6 +273,9 @@
 	}
 }
 
+// urgent reports whether a request is worth more than most, or its caller has no other try.
+func (fl *flight) urgent() bool { return fl.returned || !fl.route.Idempotent }
+
 func (fl *flight) ticket() *scheduler.Ticket {
 	return &scheduler.Ticket{
 		Service: fl.service, Keyed: fl.keyed, Key: fl.key, Rank: fl.route.Rank, Returned: fl.returned,
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -46,10 +46,17 @@
 // Request counts a request of a caller.
 func (r *Repeats) Request(now time.Time) { r.requests.Add(now) }
 
+// commonShare is the part of the bound that any request may use. The rest is for those
+// that are urgent: when most servers refuse, it is used up within seconds.
+const commonShare = 0.6
+
 // Take counts a repeat, if it is within this instance's share of the bound.
-func (r *Repeats) Take(now time.Time, instances int) bool {
+func (r *Repeats) Take(now time.Time, instances int, urgent bool) bool {
 	share := r.extra / float64(max(instances, 1))
 	allowed := safety * (r.ratio*float64(r.requests.Count(now)) + share)
+	if !urgent {
+		allowed *= commonShare
+	}
 	if float64(r.repeats.Count(now)) >= allowed {
 		return false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -94,6 +94,10 @@
 	// ownerPatience bounds the wait for a key that is moving: about the time in which the
 	// requests that run at its former owner end.
 	ownerPatience = 450 * time.Millisecond
+	// unknownOwner is the time after which callers may come back whose key has no owner and
+	// whose owner's return is not known: the hold of a lost server's grants ends within
+	// seconds, and callers have one or two tries.
+	unknownOwner = time.Second
 	// leastRetryAfter keeps refused callers from coming back before anything changed.
 	leastRetryAfter = 100 * time.Millisecond
 )
@@ -102,6 +106,7 @@
 type server struct {
 	entry     registrar.Entry
 	excluded  bool
+	ownsTill  time.Time
 	running   int
 	others    float64 // Requests of other instances, running or waiting there.
 	othersAt  time.Time
@@ -144,6 +149,9 @@
 type Candidate struct {
 	registrar.Entry
 	Excluded bool // Gets no new work.
+	// OwnsTill is the time until which an excluded server gets requests for keys that it
+	// still owns: they have nowhere else to go until the keys have moved.
+	OwnsTill time.Time
 	ColdTill time.Time
 	ColdRate float64
 }
@@ -158,6 +166,7 @@
 			sv = &server{cold: limiter.NewCold(), latency: s.usual(c.Service), work: s.usual(c.Service), slowness: 1}
 		}
 		sv.entry, sv.excluded, sv.coldTill, sv.coldRate = c.Entry, c.Excluded || !c.Usable(), c.ColdTill, c.ColdRate
+		sv.ownsTill = c.OwnsTill
 		known[c.ID] = sv
 		s.pools[c.Service] = append(s.pools[c.Service], sv)
 	}
@@ -340,8 +349,11 @@
 func (s *Scheduler) decideKeyed(now time.Time, t *Ticket, ahead map[identifier.BackendServer]int) (Decision, bool) {
 	own := s.owners.Owner(now, t.Service, t.Key)
 	sv := s.servers[own.Server]
-	if !own.Ready || sv == nil || sv.excluded || sv.entry.Life != own.Life || t.Tried[own.Server] {
-		wait := own.ReadyAt.Sub(now)
+	if !own.Ready || sv == nil || sv.excluded && !now.Before(sv.ownsTill) || sv.entry.Life != own.Life || t.Tried[own.Server] {
+		wait := unknownOwner
+		if !own.ReadyAt.IsZero() {
+			wait = own.ReadyAt.Sub(now)
+		}
 		if now.Sub(t.Arrived) < ownerPatience && wait < ownerPatience && !own.ReadyAt.IsZero() && !s.hopeless(now, t, 0) {
 			return Decision{}, false
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -85,6 +85,14 @@
 		}
 		p.s.SetServers(p.candidates)
 		p.s.Tick(p.now)
+	case "leave": // ID, for how long it gets requests for keys that it owns.
+		for n := range p.candidates {
+			if string(p.candidates[n].ID) == words[1] {
+				p.candidates[n].Excluded, p.candidates[n].OwnsTill = true, p.now.Add(ms(2))
+			}
+		}
+		p.s.SetServers(p.candidates)
+		p.s.Tick(p.now)
 	case "wait":
 		p.now = p.now.Add(ms(1))
 		p.s.Tick(p.now)
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -115,13 +115,13 @@
 	}
 }
 
-// leave drains the server, if it announces that, and ends it. It reports the time at which
-// the store took that in.
-func (b *backend) leave(ctx context.Context, announced bool) {
+// leave drains the server, if it announces that, and ends it. It reports whether the server
+// ran until then.
+func (b *backend) leave(ctx context.Context, announced bool) bool {
 	b.mu.Lock()
 	if b.down || b.draining {
 		b.mu.Unlock()
-		return
+		return false
 	}
 	b.draining = true
 	if announced {
@@ -138,6 +138,7 @@
 	name := b.name
 	b.mu.Unlock()
 	b.world.objects.Delete(platform.KindServers, string(name))
+	return true
 }
 
 // holder names the present life. The caller holds the lock.
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -101,12 +101,14 @@
 		w.refuse(b, false)
 	}},
 	{"Leave", func(ctx context.Context, w *world, rng *rand.Rand) {
-		b := one(rng, w.backends)
-		b.leave(ctx, rng.Intn(4) > 0)
-		w.refuse(b, true)
-		sleep(ctx, lasts(rng)/4)
-		b.replace(time.Now(), false)
-		w.refuse(b, false)
+		w.renew(ctx, one(rng, w.backends), rng.Intn(4) > 0, lasts(rng)/4)
+	}},
+	{"LeaveInTurn", func(ctx context.Context, w *world, rng *rand.Rand) { // As for a new release.
+		for _, n := range rng.Perm(len(w.backends))[:3] {
+			pause := lasts(rng) / 4
+			w.tasks.Go(func(ctx context.Context) { w.renew(ctx, w.backends[n], true, pause) })
+			sleep(ctx, pause)
+		}
 	}},
 	{"Cold", func(_ context.Context, w *world, rng *rand.Rand) {
 		b := one(rng, w.backends)
@@ -175,6 +177,17 @@
 	}
 }
 
+// renew lets a server leave, and another one take its address after a pause.
+func (w *world) renew(ctx context.Context, b *backend, announced bool, pause time.Duration) {
+	if !b.leave(ctx, announced) {
+		return
+	}
+	w.refuse(b, true)
+	sleep(ctx, pause)
+	b.replace(time.Now(), false)
+	w.refuse(b, false)
+}
+
 // spoilStore lets the store misbehave for a time.
 func (w *world) spoilStore(ctx context.Context, f imitator.ObjectFaults, d time.Duration) {
 	w.objects.SetFaults(f)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -46,8 +46,10 @@
 const (
 	// startTime is the time without faults at the start.
 	startTime = 4 * time.Second
-	// faultPause is the mean time between two faults.
-	faultPause = 700 * time.Millisecond
+	// faultPause is the mean time between two faults of a fast series; a slow one, in which
+	// promises with time bounds hold for longer, has slowPause times of it.
+	faultPause = 600 * time.Millisecond
+	slowPause  = 4
 	// seriesShare is the share of the faults that are followed by the same one at once.
 	seriesShare = 0.25
 	// recoverPause is the time between two tries of a request when the faults are over.
@@ -117,6 +119,10 @@
 	ended := make(chan struct{})
 	open := 0
 	last := faults[0]
+	pause := float64(faultPause)
+	if rng.Intn(2) == 0 {
+		pause *= slowPause
+	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if rng.Float64() >= seriesShare {
 			last = one(rng, faults)
@@ -128,7 +134,7 @@
 		})
 		struck++
 		open++
-		if !sleep(ctx, time.Duration(rng.ExpFloat64()*float64(faultPause))) {
+		if !sleep(ctx, time.Duration(rng.ExpFloat64()*pause)) {
 			break
 		}
 		for _, e := range w.entries {
