allocator, custodian: allocations are kept in columns, and a strong instance plans

Ruled out: lost differences (they fitted where they came), the gossip's size. Change: an allocation is kept in columns (a tenth of the bytes); instances tell their strength, the lesser of cores and link, and one from half of the greatest plans.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -7,7 +7,6 @@
 package allocator
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 	"time"
@@ -20,20 +19,20 @@
 type Segment struct {
 	_     struct{} `cbor:",toarray"`
 	Range identifier.Range
-	Owner identifier.BackendServer `json:",omitempty"` // Empty: nobody owns the keys.
-	Life  registrar.Life           `json:",omitempty"` // The process of the owner that the keys were given to.
-	Cell  identifier.Cell          `json:",omitzero"`  // Whose processes grant the keys to the owner.
+	Owner identifier.BackendServer // Empty: nobody owns the keys.
+	Life  registrar.Life           // The process of the owner that the keys were given to.
+	Cell  identifier.Cell          // Whose processes grant the keys to the owner.
 	Epoch identifier.Epoch
 	// Handover is what the owner gets with the grant to know the keys' state.
-	Handover string `json:",omitempty"`
+	Handover string
 	// Moving says that the owner is to be granted the keys no more.
-	Moving bool `json:",omitempty"`
+	Moving bool
 	// Round counts the ways that were tried to take the keys back.
-	Round int `json:",omitempty"`
+	Round int
 	// Fence, if it is not 0, is an epoch above Epoch that one process, Fencer, uses to
 	// make the owner refuse all grants of others, and then to take the keys back.
-	Fence  identifier.Epoch `json:",omitempty"`
-	Fencer Fencer           `json:",omitzero"`
+	Fence  identifier.Epoch
+	Fencer Fencer
 }
 
 // Fencer is the process that may use a segment's fence.
@@ -46,18 +45,9 @@
 // Allocation is one version of a service's allocation.
 type Allocation struct {
 	Service   identifier.Service
-	NextEpoch identifier.Epoch   // Above all epochs ever used.
-	Segments  []Segment          // In order, without gaps.
-	Version   identifier.Version `json:"-"`
-}
-
-// Decode decodes and checks an allocation.
-func Decode(data []byte, v identifier.Version) (*Allocation, error) {
-	a := &Allocation{Version: v}
-	if err := json.Unmarshal(data, a); err != nil {
-		return nil, fmt.Errorf("decode allocation: %w", err)
-	}
-	return a, a.check()
+	NextEpoch identifier.Epoch // Above all epochs ever used.
+	Segments  []Segment        // In order, without gaps.
+	Version   identifier.Version
 }
 
 // check reports an allocation that does not cover every key once.
@@ -76,15 +66,6 @@
 	return nil
 }
 
-// Encode returns the form that is kept on the platform.
-func (a *Allocation) Encode() ([]byte, error) {
-	data, err := json.Marshal(a)
-	if err != nil {
-		return nil, fmt.Errorf("encode allocation of %s: %w", a.Service, err)
-	}
-	return data, nil
-}
-
 // Find returns the segment of a key.
 func (a *Allocation) Find(p identifier.Point) *Segment {
 	n := sort.Search(len(a.Segments), func(n int) bool { return a.Segments[n].Range.To >= p })
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -190,6 +190,32 @@
 	}
 }
 
+// TestDecode is the table of allocations that are not taken from the platform.
+func TestDecode(t *testing.T) {
+	cases := map[string]struct {
+		data string
+		ok   bool
+	}{
+		"Whole":        {`{"Service":"x","NextEpoch":2,"Owners":[{"Server":"s"}],"To":[9,65535],"Owner":[0,-1],"Epoch":[1,0]}`, true},
+		"Gap":          {`{"Service":"x","NextEpoch":2,"To":[9,100],"Owner":[-1,-1],"Epoch":[1,0]}`, false},
+		"Backwards":    {`{"Service":"x","NextEpoch":2,"To":[9,8,65535],"Owner":[-1,-1,-1],"Epoch":[1,0,0]}`, false},
+		"Beyond":       {`{"Service":"x","NextEpoch":2,"To":[65535,5],"Owner":[-1,-1],"Epoch":[1,0]}`, false},
+		"NoSuchOwner":  {`{"Service":"x","NextEpoch":2,"To":[65535],"Owner":[3],"Epoch":[1]}`, false},
+		"ShortColumn":  {`{"Service":"x","NextEpoch":2,"To":[65535],"Owner":[],"Epoch":[1]}`, false},
+		"HighEpoch":    {`{"Service":"x","NextEpoch":2,"To":[65535],"Owner":[-1],"Epoch":[2]}`, false},
+		"StrayDetails": {`{"Service":"x","NextEpoch":2,"To":[65535],"Owner":[-1],"Epoch":[1],"Details":[{"Segment":1}]}`, false},
+		"Empty":        {`{}`, false},
+		"Cut":          {`{"Service":`, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, err := allocator.Decode([]byte(c.data), 1); (err == nil) != c.ok {
+				t.Errorf("error %v, want ok %t", err, c.ok)
+			}
+		})
+	}
+}
+
 // TestChanceMovesNothing: the load is even, on 175 servers that get eleven requests a second
 // each, so that some show much more than the mean by chance at any moment. No key may move
 // for that.
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -120,6 +120,10 @@
 	}, store, clocker.Now, log, scope, reporter.HTTPHandler())
 }
 
+// planningMbps is the link on which one core's worth of planning fits: allocations go to the
+// store and their differences to all instances.
+const planningMbps = 100
+
 // storeConnections is the number of idle connections to the store: one for each watch and
 // a few for calls.
 const storeConnections = 8
@@ -131,6 +135,7 @@
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		PeerAddress: at(s.IP, s.PeerPort), MetricsAddress: at(s.IP, s.MetricsPort),
 		Heartbeat: s.Heartbeat, MaxHold: s.Bounds.MaxHold, GraceTime: s.Bounds.GraceTime,
+		Strength:  min(s.Cores, s.LinkMbps/planningMbps),
 		DrainTime: s.Bounds.DrainTime, ClearTime: s.Bounds.ClearTime,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetryExtra: s.Bounds.RetryExtra,
 		ColdOvershoot: s.Bounds.ColdOvershoot, ColdSlack: s.Bounds.ColdSlack,
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -51,6 +51,7 @@
 	Instance       identifier.Instance
 	Incarnation    identifier.Incarnation
 	Zone           identifier.Zone
+	Strength       float64 // What the machine can do, to choose among instances.
 	FrontAddress   string
 	ReadyAddress   string
 	PeerAddress    string
@@ -180,7 +181,7 @@
 	}
 	c.view = newView()
 	c.custody = custodian.New(now, custodian.Settings{
-		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, CellSize: custodian.CellSize,
+		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Strength: s.Strength, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{Hold: min(grantHold, s.MaxHold), Renew: grantRenew, Authority: grantAuthority},
 	}, c.believed)
 	c.scheduler = scheduler.New(s.Zone, c)
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -38,7 +38,8 @@
 	Incarnation identifier.Incarnation
 	Zone        identifier.Zone
 	Address     string // For calls between instances.
-	CellSize    int    // Keyed backend servers up to which a zone has one cell.
+	Strength    float64
+	CellSize    int // Keyed backend servers up to which a zone has one cell.
 	Leases      leaser.Settings
 }
 
@@ -102,7 +103,7 @@
 func New(now time.Time, s Settings, observe Observe) *Custodian {
 	return &Custodian{
 		settings: s, observe: observe, startedAt: now,
-		Gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.Address}),
+		Gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.Address, Strength: s.Strength}),
 		Leases: leaser.New(s.Leases), allocations: map[identifier.Service]*allocator.Allocation{},
 		rosters: map[identifier.Cell]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
 		relayed: map[identifier.Cell]time.Time{}, joined: map[identifier.Cell]bool{}, fencedAt: map[fenceKey]time.Time{},
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -40,25 +40,40 @@
 // one.
 func (c *Custodian) Granter(now time.Time, cell identifier.Cell) identifier.Instance {
 	near, far := c.candidates(now, func(z identifier.Zone) bool { return z == cell.Zone })
-	if top, ok := ranker.Top("granter "+cell.String(), near); ok {
-		return top
+	if len(near) == 0 {
+		near = far
 	}
-	top, _ := ranker.Top("granter "+cell.String(), far)
-	return top
+	return top("granter "+cell.String(), near)
 }
 
-// Planner returns the instance that is to plan.
+// strongShare is the part of the greatest strength from which an instance is fit to plan.
+const strongShare = 0.5
+
+// Planner returns the instance that is to plan: one of the stronger ones.
 func (c *Custodian) Planner(now time.Time) identifier.Instance {
 	all, _ := c.candidates(now, func(identifier.Zone) bool { return true })
-	top, _ := ranker.Top("planner", all)
-	return top
+	strongest := 0.0
+	for _, s := range all {
+		strongest = max(strongest, s.Strength)
+	}
+	return top("planner", slices.DeleteFunc(all, func(s gossiper.State) bool { return s.Strength < strongShare*strongest }))
+}
+
+// top returns the instance that ranks first for a task, or none.
+func top(task string, states []gossiper.State) identifier.Instance {
+	names := make([]identifier.Instance, 0, len(states))
+	for _, s := range states {
+		names = append(names, s.Instance)
+	}
+	first, _ := ranker.Top(task, names)
+	return first
 }
 
 // candidates returns the live instances for a task that needs the store: those whose
 // zone fits, and the others. Without an instance that the store answers, all count.
-func (c *Custodian) candidates(now time.Time, fits func(identifier.Zone) bool) (near, far []identifier.Instance) {
+func (c *Custodian) candidates(now time.Time, fits func(identifier.Zone) bool) (near, far []gossiper.State) {
 	states := []gossiper.State{{
-		Instance: c.settings.Instance, Zone: c.settings.Zone, Leaving: c.world.Leaving, StoreUp: c.StoreUp(),
+		Instance: c.settings.Instance, Zone: c.settings.Zone, Strength: c.settings.Strength, Leaving: c.world.Leaving, StoreUp: c.StoreUp(),
 	}}
 	for _, p := range c.Gossip.Live(now) {
 		states = append(states, p.State)
@@ -67,9 +82,9 @@
 		switch {
 		case s.Leaving:
 		case fits(s.Zone):
-			near = append(near, s.Instance)
+			near = append(near, s)
 		default:
-			far = append(far, s.Instance)
+			far = append(far, s)
 		}
 	}
 	for _, s := range states {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -58,6 +58,7 @@
 	Incarnation identifier.Incarnation
 	Zone        identifier.Zone
 	Address     string // For calls between instances.
+	Strength    float64
 	Number      uint64 // Of the states of this incarnation.
 	Leaving     bool
 	StoreUp     bool // The platform's store answers the sender.
@@ -131,6 +132,7 @@
 	g.number++
 	g.sentAt[g.number%sentKept] = now
 	s.Instance, s.Incarnation, s.Zone, s.Address = g.self.Instance, g.self.Incarnation, g.self.Zone, g.self.Address
+	s.Strength = g.self.Strength
 	s.Number = g.number
 	return s
 }
