scheduler, limiter: turns at owners that too many instances want; few cold requests among many instances

Ruled out: balance (moves went on). Change: states tell what waits for each owner; where an instance's share of the slots is under one it pauses between two requests by that share, and refuses by that pause. TestColdAmongMany.

--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -56,7 +56,7 @@
 	every(ctx, gossiper.SendEvery, c.sendKick, func() {
 		now := c.clock()
 		c.mu.Lock()
-		c.scheduler.Heard(c.othersRunning(now))
+		c.scheduler.Heard(c.others(now))
 		state := c.custody.Gossip.Compose(now, c.state(now, c.custody.Gossip.Full(now)))
 		targets := c.custody.Gossip.Targets(now)
 		planner := c.custody.Planner(now)
@@ -128,7 +128,7 @@
 	}
 	s.Allocations = c.custody.Versions()
 	c.addPushes(now, &s)
-	s.Running = c.scheduler.Running()
+	s.Running, s.Waiting = c.scheduler.Running(), c.scheduler.WaitingAt()
 	kept := c.reported[:0]
 	for _, r := range c.reported {
 		if now.Sub(r.at) < crashKept {
@@ -161,15 +161,19 @@
 // pushFor is the time in which what was written is told: two states.
 const pushFor = 2 * gossiper.SendEvery
 
-// othersRunning returns the requests that the other instances have at each server.
-func (c *Conductor) othersRunning(now time.Time) map[identifier.BackendServer]int {
-	sum := map[identifier.BackendServer]int{}
+// others returns the requests that the other instances have at each server, and those that
+// wait for it.
+func (c *Conductor) others(now time.Time) (running, waiting map[identifier.BackendServer]int) {
+	running, waiting = map[identifier.BackendServer]int{}, map[identifier.BackendServer]int{}
 	for _, p := range c.custody.Gossip.Live(now) {
 		for id, n := range p.Running {
-			sum[id] += n
+			running[id] += n
+		}
+		for id, n := range p.Waiting {
+			waiting[id] += n
 		}
 	}
-	return sum
+	return running, waiting
 }
 
 func (c *Conductor) sketches(now time.Time) map[identifier.Service]allocator.Sketch {
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -299,10 +299,14 @@
 	candidates := make([]scheduler.Candidate, 0, len(c.view.entries))
 	for _, e := range c.view.entries {
 		s := c.view.table.Services[e.Service]
-		candidates = append(candidates, scheduler.Candidate{
+		candidate := scheduler.Candidate{
 			Entry: e, Excluded: c.excluded(e), OwnsTill: c.ownsUntil(e), ColdTill: c.coldUntil(e),
 			ColdRate: (s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
-		})
+		}
+		if now.Before(candidate.ColdTill) {
+			candidate.ColdRank = c.custody.Gossip.Rank(now, "cold "+string(e.ID))
+		}
+		candidates = append(candidates, candidate)
 		limit := max(s.MaxConnections/count, 1)
 		key := poolKey{e.ID, e.Life, e.Address}
 		if p, ok := c.pools[key]; ok {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/quarantiner"
+	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -78,6 +79,7 @@
 	Objects     []storer.Object                  // That the sender has just written.
 	Deltas      []allocator.Delta                // Of allocations that the sender has just written.
 	Running     map[identifier.BackendServer]int // Requests of this instance at each server.
+	Waiting     map[identifier.BackendServer]int // Requests of this instance that wait for each server.
 }
 
 const (
@@ -151,6 +153,18 @@
 // them full ones are so much rarer, since their number grows with the square.
 const fullStates = 8
 
+// Rank returns how many of the instances that Count counts rank before this one for a task.
+func (g *Gossiper) Rank(now time.Time, task string) int {
+	mine := ranker.Weight(task, string(g.self.Instance))
+	before := 0
+	for _, p := range g.peers {
+		if now.Sub(p.HeardAt) < countFor && ranker.Weight(task, string(p.Instance)) > mine {
+			before++
+		}
+	}
+	return before
+}
+
 // Share returns in how many states one is to be full, and by how much longer than in a
 // small installation other regular work that each instance does may wait.
 func (g *Gossiper) Share(now time.Time) int { return 1 + len(g.Live(now))/fullStates }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -80,7 +80,12 @@
 // unnoticed.
 func (c *Cold) Sent(now time.Time) { c.sent.Add(now) }
 
-// May reports whether another request is within this instance's share of perSecond.
-func (c *Cold) May(now time.Time, perSecond float64, instances int) bool {
-	return c.sent.Count(now) < int(perSecond/float64(max(instances, 1)))
+// May reports whether another request is within this instance's share of perSecond. Where
+// there are more instances than requests a second, those that rank first get one each.
+func (c *Cold) May(now time.Time, perSecond float64, instances, rank int) bool {
+	share := int(perSecond / float64(max(instances, 1)))
+	if share == 0 && rank < int(perSecond) {
+		share = 1
+	}
+	return c.sent.Count(now) < share
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// TestColdAmongMany: the load is 28 instances that all have requests for a cold server which
+// bears 15 a second. It must get most of them and no more.
+func TestColdAmongMany(t *testing.T) {
+	const instances, perSecond = 28, 15
+	bounds := make([]*limiter.Cold, instances)
+	for n := range bounds {
+		bounds[n] = limiter.NewCold()
+	}
+	var sent []time.Time
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		for rank, c := range bounds {
+			if c.May(now, perSecond, instances, rank) {
+				c.Sent(now)
+				sent = append(sent, now)
+			}
+		}
+	}
+	for n := perSecond; n < len(sent); n++ {
+		if gap := sent[n].Sub(sent[n-perSecond]); gap < time.Second {
+			t.Fatalf("%d requests within %s", perSecond+1, gap)
+		}
+	}
+	if len(sent) < 5*perSecond*8/10 {
+		t.Errorf("%d requests in 5 s", len(sent))
+	}
+}
+
 func TestWindow(t *testing.T) {
 	w := limiter.NewWindow(time.Second)
 	for n := range 10 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,6 +111,9 @@
 	others    float64 // Requests of other instances, running or waiting there.
 	othersAt  time.Time
 	heard     float64 // Requests of other instances there, by what they say.
+	waiting   int     // Requests of this instance that wait for it.
+	contended float64 // Requests of other instances that wait for it, by what they say.
+	sentAt    time.Time
 	latency   float64 // Milliseconds, averaged.
 	work      float64 // Milliseconds that a request takes without waiting at the server, averaged.
 	slowness  float64 // Of the machine at slowAt; 1 is usual.
@@ -118,6 +121,7 @@
 	pauseTill time.Time // After a refusal or a failure.
 	coldTill  time.Time
 	coldRate  float64 // Requests a second while cold, over all instances.
+	coldRank  int
 	cold      *limiter.Cold
 }
 
@@ -154,6 +158,7 @@
 	OwnsTill time.Time
 	ColdTill time.Time
 	ColdRate float64
+	ColdRank int // Of this instance among all, for the requests that the server bears while cold.
 }
 
 // SetServers replaces the backend servers that are known.
@@ -166,7 +171,7 @@
 			sv = &server{cold: limiter.NewCold(), latency: s.usual(c.Service), work: s.usual(c.Service), slowness: 1}
 		}
 		sv.entry, sv.excluded, sv.coldTill, sv.coldRate = c.Entry, c.Excluded || !c.Usable(), c.ColdTill, c.ColdRate
-		sv.ownsTill = c.OwnsTill
+		sv.ownsTill, sv.coldRank = c.OwnsTill, c.ColdRank
 		known[c.ID] = sv
 		s.pools[c.Service] = append(s.pools[c.Service], sv)
 	}
@@ -304,10 +309,24 @@
 	return running
 }
 
+// WaitingAt returns the requests of this instance that wait for each server.
+func (s *Scheduler) WaitingAt() map[identifier.BackendServer]int {
+	waiting := map[identifier.BackendServer]int{}
+	for id, sv := range s.servers {
+		if sv.waiting > 0 {
+			waiting[id] = sv.waiting
+		}
+	}
+	return waiting
+}
+
 // run goes through a queue in order and decides what can be decided.
 func (s *Scheduler) run(now time.Time, service identifier.Service) {
 	queue := s.queues[service]
 	if len(queue) == 0 {
+		for _, sv := range s.pools[service] {
+			sv.waiting = 0
+		}
 		return
 	}
 	sort.SliceStable(queue, func(a, b int) bool { return queue[a].standing(now) < queue[b].standing(now) })
@@ -332,6 +351,9 @@
 		queue[n] = nil
 	}
 	s.queues[service] = kept
+	for _, sv := range s.pools[service] {
+		sv.waiting = ahead[sv.entry.ID]
+	}
 }
 
 // standing is a ticket's place in its queue; lower ones go first.
@@ -365,11 +387,14 @@
 }
 
 func (s *Scheduler) decideAt(now time.Time, t *Ticket, sv *server, ahead map[identifier.BackendServer]int) (Decision, bool) {
-	if ahead[sv.entry.ID] == 0 && s.free(now, sv) {
+	if ahead[sv.entry.ID] == 0 && s.hasTurn(now, sv) {
 		return s.send(now, sv), true
 	}
 	lane := max(sv.limit(now)-sv.othersNow(now), 1)
 	wait := time.Duration(float64(ahead[sv.entry.ID]+1) / lane * sv.latency * float64(time.Millisecond) / 2)
+	if pause, paced := sv.pace(now); paced {
+		wait = time.Duration(ahead[sv.entry.ID])*pause + max(sv.sentAt.Add(pause).Sub(now), 0)
+	}
 	if s.isCold(now, sv) {
 		wait = time.Duration(float64(ahead[sv.entry.ID]+1) / max(sv.coldRate/float64(s.instances), 0.5) * float64(time.Second))
 	}
@@ -422,6 +447,7 @@
 func (s *Scheduler) send(now time.Time, sv *server) Decision {
 	in := sv.inputs(now)
 	sv.running++
+	sv.sentAt = now
 	sv.cold.Sent(now)
 	return Decision{Server: sv.entry, Inputs: in}
 }
@@ -446,13 +472,40 @@
 
 // free reports whether a server can take one more request of this instance.
 func (s *Scheduler) free(now time.Time, sv *server) bool {
-	if now.Before(sv.pauseTill) {
-		return false
+	return s.able(now, sv) && float64(sv.running)+sv.othersNow(now) < sv.limit(now)
+}
+
+// able reports whether a server takes requests of this instance at all now.
+func (s *Scheduler) able(now time.Time, sv *server) bool {
+	return !now.Before(sv.pauseTill) && (!s.isCold(now, sv) || sv.cold.May(now, sv.coldRate, s.instances, sv.coldRank))
+}
+
+// hasTurn reports whether the owner of a key can take one more request of this instance:
+// there is no other server to go to, and many instances may want it.
+func (s *Scheduler) hasTurn(now time.Time, sv *server) bool {
+	pause, paced := sv.pace(now)
+	if !paced {
+		return s.free(now, sv)
 	}
-	if s.isCold(now, sv) && !sv.cold.May(now, sv.coldRate, s.instances) {
-		return false
+	return s.able(now, sv) && sv.running == 0 && now.Sub(sv.sentAt) >= pause && sv.othersNow(now) < crowded*sv.limit(now)
+}
+
+// crowded is how far above its limit a server's reported load may lie for a paced request
+// to be sent: reports are older than the requests take.
+const crowded = 1.5
+
+// pace returns the time between two requests of this instance to a server, if so many
+// instances want it that none may always have one there: each takes turns by its share of
+// those that run and wait.
+func (sv *server) pace(now time.Time) (pause time.Duration, paced bool) {
+	mine := float64(sv.running + max(sv.waiting, 1))
+	limit := sv.limit(now)
+	all := mine + sv.heard + sv.contended
+	if all <= limit || limit*mine >= all {
+		return 0, false
 	}
-	return float64(sv.running)+sv.othersNow(now) < sv.limit(now)
+	slots := float64(sv.entry.Slots)
+	return time.Duration(sv.work * sv.slowNow(now) * all / (slots * mine) * float64(time.Millisecond)), true
 }
 
 // othersNow is the estimate of other instances' requests: what the server reported,
@@ -462,10 +515,12 @@
 	return fresh*sv.others + (1-fresh)*sv.heard
 }
 
-// Heard takes in the requests that other instances have at each server.
-func (s *Scheduler) Heard(running map[identifier.BackendServer]int) {
+// Heard takes in the requests that other instances have at each server, and those that
+// wait for it.
+func (s *Scheduler) Heard(running, waiting map[identifier.BackendServer]int) {
 	for id, sv := range s.servers {
 		sv.heard += heardWeight * (float64(running[id]) - sv.heard)
+		sv.contended += heardWeight * (float64(waiting[id]) - sv.contended)
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -221,6 +221,88 @@
 	}
 }
 
+// TestManyInstancesOneServer: the load is twice what the owner of a hot key bears, through
+// 27 instances that know of each other only what they said up to 200 ms ago. The owner must
+// be kept busy, and its own queue short: what waits there no instance can put in order, and
+// runs past its deadline.
+func TestManyInstancesOneServer(t *testing.T) {
+	const instances, slots, work, step = 27, 2, 100 * time.Millisecond, 5 * time.Millisecond
+	rng := rand.New(rand.NewSource(11))
+	own := registrar.Ownership{Server: "x", Life: 1, Ready: true}
+	var all []*scheduler.Scheduler
+	for range instances {
+		s := scheduler.New("a", fixed{own})
+		s.SetServers([]scheduler.Candidate{candidate("x", "a", slots)})
+		all = append(all, s)
+	}
+	type visit struct {
+		by             *scheduler.Scheduler
+		arrived, until time.Time
+	}
+	var at []visit // In order of arrival; the first ones run.
+	open := map[*scheduler.Ticket]*scheduler.Scheduler{}
+	served, queued, looks := 0, 0, 0
+	const length = 20 * time.Second
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		if rng.Intn(5) == 0 { // 40 a second.
+			s := all[rng.Intn(instances)]
+			ticket := &scheduler.Ticket{Service: "s", Keyed: true, Arrived: now, Target: now.Add(400 * time.Millisecond),
+				Deadline: now.Add(2 * time.Second), Decided: make(chan scheduler.Decision, 1)}
+			open[ticket] = s
+			s.Arrive(now, ticket)
+		}
+		if now.Sub(start)%(200*time.Millisecond) == 0 {
+			for _, s := range all {
+				running, waiting := 0, 0
+				for _, other := range all {
+					if other != s {
+						running += other.Running()["x"]
+						waiting += other.WaitingAt()["x"]
+					}
+				}
+				s.Heard(map[identifier.BackendServer]int{"x": running}, map[identifier.BackendServer]int{"x": waiting})
+			}
+		}
+		for n := range at {
+			if n < slots && at[n].until.IsZero() {
+				at[n].until = now.Add(work)
+			}
+		}
+		var still []visit
+		for _, v := range at {
+			if v.until.IsZero() || v.until.After(now) {
+				still = append(still, v)
+				continue
+			}
+			served++
+			v.by.Done(now, "x", 1, scheduler.Report{Latency: now.Sub(v.arrived), HasLoad: true, Running: min(len(at), slots), Waiting: max(len(at)-slots, 0), Slowness: 1})
+		}
+		at = still
+		for _, s := range all {
+			s.Tick(now)
+		}
+		for ticket, s := range open {
+			select {
+			case d := <-ticket.Decided:
+				delete(open, ticket)
+				if d.Reason == scheduler.None {
+					at = append(at, visit{by: s, arrived: now})
+				}
+			default:
+			}
+		}
+		queued += max(len(at)-slots, 0)
+		looks++
+	}
+	capacity := float64(slots) * length.Seconds() / work.Seconds()
+	if used := float64(served) / capacity; used < 0.8 {
+		t.Errorf("%.2f of the server's time is used", used)
+	}
+	if mean := float64(queued) / float64(looks); mean > 2*slots {
+		t.Errorf("%.1f requests wait at the server on average, it runs %d at a time", mean, slots)
+	}
+}
+
 // TestColdBound: the load is more than a cold server bears. In no second may this
 // instance send it more than its share.
 func TestColdBound(t *testing.T) {
