limiter: a process that starts does not get anew what the one before it may have used

Traced in the processes' logs: two faults that kill all processes and one that ends one strike within a second; each new process had its own share of seven. Ruled out: late news (all instances knew at once that the server was cold). Change: nothing for cold servers in the first window of a process; the share of the extra repeats grows over its first window.

conductor, exchanger: during an outage one kind is tried for all; connections are used for 0.8 of the idle time.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -184,12 +184,13 @@
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Strength: s.Strength, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{Hold: min(grantHold, s.MaxHold), Renew: grantRenew, Authority: grantAuthority},
 	}, c.believed)
-	c.scheduler = scheduler.New(s.Zone, c)
+	c.scheduler = scheduler.New(now, s.Zone, c)
 	for _, seed := range s.Seeds {
 		c.custody.Gossip.Hint(seed)
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
-		c.mirrors[kind] = mirrorer.New(kind, store, c.pace, clock, c.changed, c.storeEnded, c.storePause)
+		c.mirrors[kind] = mirrorer.New(kind, store, c.pace, clock, c.changed, c.storeEnded,
+			func(ctx context.Context, failures int) { c.storePause(ctx, kind, failures) })
 	}
 	return c
 }
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -1,8 +1,6 @@
 package conductor
 
 import (
-	"context"
-	"errors"
 	"sort"
 	"strings"
 	"time"
@@ -298,16 +296,8 @@
 	}
 	candidates := make([]scheduler.Candidate, 0, len(c.view.entries))
 	for _, e := range c.view.entries {
-		s := c.view.table.Services[e.Service]
-		candidate := scheduler.Candidate{
-			Entry: e, Excluded: c.excluded(e), OwnsTill: c.ownsUntil(e), ColdTill: c.coldUntil(e),
-			ColdRate: (s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
-		}
-		if now.Before(candidate.ColdTill) {
-			candidate.ColdRank = c.custody.Gossip.Rank(now, "cold "+string(e.ID))
-		}
-		candidates = append(candidates, candidate)
-		limit := max(s.MaxConnections/count, 1)
+		candidates = append(candidates, c.candidate(now, e))
+		limit := max(c.view.table.Services[e.Service].MaxConnections/count, 1)
 		key := poolKey{e.ID, e.Life, e.Address}
 		if p, ok := c.pools[key]; ok {
 			p.SetLimit(limit)
@@ -338,11 +328,23 @@
 	c.scheduler.SetServers(candidates)
 	for name := range c.view.table.Services {
 		if _, ok := c.repeats[name]; !ok {
-			c.repeats[name] = limiter.NewRepeats(c.settings.RetryWindow, c.settings.RetryRatio, c.settings.RetryExtra)
+			c.repeats[name] = limiter.NewRepeats(c.startedAt, c.settings.RetryWindow, c.settings.RetryRatio, c.settings.RetryExtra)
 		}
 	}
 }
 
+// candidate returns what is known of a backend server that requests may go to.
+func (c *Conductor) candidate(now time.Time, e registrar.Entry) scheduler.Candidate {
+	found := scheduler.Candidate{
+		Entry: e, Excluded: c.excluded(e), OwnsTill: c.ownsUntil(e), ColdTill: c.coldUntil(e),
+		ColdRate: (c.view.table.Services[e.Service].ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldShare,
+	}
+	if now.Before(found.ColdTill) {
+		found.ColdRank = c.custody.Gossip.Rank(now, "cold "+string(e.ID))
+	}
+	return found
+}
+
 const (
 	// coldShare is the part of a cold server's bound that is used: its window slides, and
 	// requests take differently long to arrive.
@@ -355,56 +357,3 @@
 func (c *Conductor) Owner(now time.Time, service identifier.Service, key identifier.Point) registrar.Ownership {
 	return c.custody.Owner(now, service, key)
 }
-
-// storeEnded takes in the end of a call to the platform's store.
-func (c *Conductor) storeEnded(kind storer.ObjectKind, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err == nil {
-		c.storeWorked(c.clock())
-		return
-	}
-	if errors.Is(err, storer.ErrGarbled) {
-		// The store is there: the other kinds and writes go on, and this kind is read again.
-		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("answer of the platform's store does not decode")
-		return
-	}
-	if errors.Is(err, storer.ErrHistoryGone) {
-		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store dropped its history, everything is listed anew")
-		c.historyLost = kind // Its list, which comes next, says from where on the others are to be listed.
-		return
-	}
-	if c.view.storeDownAt.IsZero() {
-		c.view.storeDownAt = c.clock()
-		c.custody.SetWorld(c.world())
-		c.log.WithFields(logrus.Fields{"Kind": kind, "Error": err}).Warning("platform's store does not answer")
-	}
-}
-
-// storeWorked logs the end of an outage.
-func (c *Conductor) storeWorked(now time.Time) {
-	if c.view.storeDownAt.IsZero() {
-		return
-	}
-	if lasted := now.Sub(c.view.storeDownAt); lasted >= outageAfter {
-		c.view.storeUpAt = now
-		c.log.WithField("Ms", lasted.Milliseconds()).Info("platform's store answers again")
-	}
-	c.view.storeDownAt = time.Time{}
-	c.custody.SetWorld(c.world())
-}
-
-const (
-	// storeRetry is the pause after a call to the store that failed.
-	storeRetry = 100 * time.Millisecond
-	// storeRetryMost bounds the pause: the store's return is noticed that late at most.
-	storeRetryMost = 400 * time.Millisecond
-)
-
-func (c *Conductor) storePause(ctx context.Context, failures int) {
-	pause := min(storeRetry<<min(failures, 4), storeRetryMost)
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
--- /dev/null
+++ b/custodian/allocations.go
@@ -0,0 +1,132 @@
+package custodian
+
+import (
+	"strings"
+	"time"
+
+	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/gossiper"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/storer"
+)
+
+// Allocation returns the newest allocation of a service, or nil.
+func (c *Custodian) Allocation(service identifier.Service) *allocator.Allocation {
+	return c.allocations[service]
+}
+
+// Allocations returns the newest allocations.
+func (c *Custodian) Allocations() map[identifier.Service]*allocator.Allocation { return c.allocations }
+
+// Versions returns the versions of the allocations that are known.
+func (c *Custodian) Versions() map[identifier.Service]identifier.Version {
+	versions := make(map[identifier.Service]identifier.Version, len(c.allocations))
+	for service, a := range c.allocations {
+		versions[service] = a.Version
+	}
+	return versions
+}
+
+// Ahead returns a live instance that has a newer version of an allocation than this one;
+// ok is false if there is none.
+func (c *Custodian) Ahead(now time.Time) (peer *gossiper.Peer, ok bool) {
+	for _, p := range c.Gossip.Live(now) {
+		for service, version := range p.Allocations {
+			if a := c.allocations[service]; a == nil || a.Version < version {
+				return p, true
+			}
+		}
+	}
+	return nil, false
+}
+
+func (c *Custodian) takeAllocation(now time.Time, o storer.Object) {
+	service := identifier.Service(strings.TrimPrefix(o.Name, AllocationPrefix))
+	if old := c.allocations[service]; old != nil && old.Version >= o.Version {
+		return
+	}
+	a, err := allocator.Decode(o.Data, o.Version)
+	if err != nil {
+		c.observe("allocation does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
+		return
+	}
+	c.allocations[service] = a
+	known := map[segmentKey]bool{}
+	moving := 0
+	for _, s := range a.Segments {
+		key := segmentKey{service, s.Range, s.Epoch}
+		known[key] = true
+		st := c.segmentState(now, key)
+		if s.Moving {
+			moving++
+			c.seeRound(now, st, s)
+		}
+		if s.Fence != 0 {
+			fence := segmentKey{service, s.Range, s.Fence}
+			known[fence] = true
+			c.segmentState(now, fence)
+		}
+	}
+	for key := range c.segments {
+		if key.service == service && !known[key] {
+			delete(c.segments, key)
+		}
+	}
+	c.observe("allocation", map[string]any{"Service": service, "Version": a.Version, "Segments": len(a.Segments),
+		"Moving": moving, "NextEpoch": a.NextEpoch})
+}
+
+func (c *Custodian) seeRound(now time.Time, st *segmentState, s allocator.Segment) {
+	if st.round == s.Round {
+		return
+	}
+	if st.round == 0 {
+		st.movingAt = now
+	}
+	st.round, st.roundAt = s.Round, now
+}
+
+// segmentState returns the state of a segment; that of a new one is made from the one
+// that it was cut from.
+func (c *Custodian) segmentState(now time.Time, key segmentKey) *segmentState {
+	if st, ok := c.segments[key]; ok {
+		return st
+	}
+	st := &segmentState{seenAt: now}
+	for old, part := range c.segments {
+		if old.service == key.service && old.epoch == key.epoch && old.rng.Overlaps(key.rng) {
+			st.seenAt, st.accepted = part.seenAt, part.accepted
+		}
+	}
+	c.segments[key] = st
+	return st
+}
+
+// Apply returns the allocations that differences lead to. One whose base is not known
+// here is left to a later copy.
+func (c *Custodian) Apply(deltas []allocator.Delta) []storer.Object {
+	var objects []storer.Object
+	next := map[identifier.Service]*allocator.Allocation{}
+	for _, d := range deltas {
+		base, ok := next[d.Service]
+		if !ok {
+			base = c.allocations[d.Service]
+		}
+		if base != nil && base.Version >= d.Version {
+			continue
+		}
+		a, err := allocator.Apply(base, d)
+		if err != nil {
+			c.observe("difference of an allocation does not fit", map[string]any{"Service": d.Service, "Version": d.Version, "Error": err.Error()})
+			continue
+		}
+		data, err := a.Encode()
+		if err != nil {
+			c.observe("allocation does not encode", map[string]any{"Service": d.Service, "Error": err.Error()})
+			continue
+		}
+		next[d.Service] = a
+		objects = append(objects, storer.Object{Name: AllocationPrefix + string(d.Service), Version: d.Version, Data: data})
+	}
+	return objects
+}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -82,12 +82,6 @@
 	epoch   identifier.Epoch
 }
 
-// fenceKey names one fence of a process on a cell's roster.
-type fenceKey struct {
-	cell   identifier.Cell
-	holder leaser.Holder
-}
-
 // segmentState is what this instance knows of a segment beyond the allocation.
 type segmentState struct {
 	seenAt      time.Time
@@ -116,14 +110,6 @@
 	c.parts = partsOf(w, c.settings.CellSize)
 }
 
-// Allocation returns the newest allocation of a service, or nil.
-func (c *Custodian) Allocation(service identifier.Service) *allocator.Allocation {
-	return c.allocations[service]
-}
-
-// Allocations returns the newest allocations.
-func (c *Custodian) Allocations() map[identifier.Service]*allocator.Allocation { return c.allocations }
-
 // Rosters returns the newest rosters.
 func (c *Custodian) Rosters() map[identifier.Cell]leaser.Roster { return c.rosters }
 
@@ -131,28 +117,6 @@
 // has been read.
 func (c *Custodian) Asked() time.Time { return c.asked }
 
-// Versions returns the versions of the allocations that are known.
-func (c *Custodian) Versions() map[identifier.Service]identifier.Version {
-	versions := make(map[identifier.Service]identifier.Version, len(c.allocations))
-	for service, a := range c.allocations {
-		versions[service] = a.Version
-	}
-	return versions
-}
-
-// Ahead returns a live instance that has a newer version of an allocation than this one;
-// ok is false if there is none.
-func (c *Custodian) Ahead(now time.Time) (peer *gossiper.Peer, ok bool) {
-	for _, p := range c.Gossip.Live(now) {
-		for service, version := range p.Allocations {
-			if a := c.allocations[service]; a == nil || a.Version < version {
-				return p, true
-			}
-		}
-	}
-	return nil, false
-}
-
 // Self names this process.
 func (c *Custodian) Self() allocator.Fencer {
 	return allocator.Fencer{Instance: c.settings.Instance, Incarnation: c.settings.Incarnation}
@@ -174,68 +138,6 @@
 	}
 }
 
-func (c *Custodian) takeAllocation(now time.Time, o storer.Object) {
-	service := identifier.Service(strings.TrimPrefix(o.Name, AllocationPrefix))
-	if old := c.allocations[service]; old != nil && old.Version >= o.Version {
-		return
-	}
-	a, err := allocator.Decode(o.Data, o.Version)
-	if err != nil {
-		c.observe("allocation does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
-		return
-	}
-	c.allocations[service] = a
-	known := map[segmentKey]bool{}
-	moving := 0
-	for _, s := range a.Segments {
-		key := segmentKey{service, s.Range, s.Epoch}
-		known[key] = true
-		st := c.segmentState(now, key)
-		if s.Moving {
-			moving++
-			c.seeRound(now, st, s)
-		}
-		if s.Fence != 0 {
-			fence := segmentKey{service, s.Range, s.Fence}
-			known[fence] = true
-			c.segmentState(now, fence)
-		}
-	}
-	for key := range c.segments {
-		if key.service == service && !known[key] {
-			delete(c.segments, key)
-		}
-	}
-	c.observe("allocation", map[string]any{"Service": service, "Version": a.Version, "Segments": len(a.Segments),
-		"Moving": moving, "NextEpoch": a.NextEpoch})
-}
-
-func (c *Custodian) seeRound(now time.Time, st *segmentState, s allocator.Segment) {
-	if st.round == s.Round {
-		return
-	}
-	if st.round == 0 {
-		st.movingAt = now
-	}
-	st.round, st.roundAt = s.Round, now
-}
-
-// segmentState returns the state of a segment; that of a new one is made from the one
-// that it was cut from.
-func (c *Custodian) segmentState(now time.Time, key segmentKey) *segmentState {
-	if st, ok := c.segments[key]; ok {
-		return st
-	}
-	st := &segmentState{seenAt: now}
-	for old, part := range c.segments {
-		if old.service == key.service && old.epoch == key.epoch && old.rng.Overlaps(key.rng) {
-			st.seenAt, st.accepted = part.seenAt, part.accepted
-		}
-	}
-	c.segments[key] = st
-	return st
-}
-
 func (c *Custodian) takeRoster(now time.Time, o storer.Object) {
 	r, err := leaser.DecodeRoster(o.Data, o.Version)
 	if err != nil {
@@ -262,37 +164,6 @@
 	c.observe("roster", map[string]any{"Cell": r.Cell.String(), "Version": r.Version, "Holders": r.Holders})
 }
 
-// fenced takes in that a holder was fenced at a time or before.
-func (c *Custodian) fenced(key fenceKey, at time.Time) {
-	if known, ok := c.fencedAt[key]; !ok || at.Before(known) {
-		c.fencedAt[key] = at
-	}
-}
-
-// Fences returns how long ago, at least, holders were fenced.
-func (c *Custodian) Fences(now time.Time) []gossiper.Fence {
-	fences := make([]gossiper.Fence, 0, len(c.fencedAt))
-	for key, at := range c.fencedAt {
-		fences = append(fences, gossiper.Fence{Cell: key.cell, Holder: key.holder, AgeMs: now.Sub(at).Milliseconds()})
-	}
-	sort.Slice(fences, func(a, b int) bool {
-		x, y := fences[a], fences[b]
-		return x.Cell.Compare(y.Cell) < 0 || x.Cell == y.Cell && (x.Holder.Instance < y.Holder.Instance ||
-			x.Holder.Instance == y.Holder.Instance && x.Holder.Incarnation < y.Holder.Incarnation)
-	})
-	return fences
-}
-
-// takeFences takes in how long ago another instance knows holders to have been fenced: a
-// process that starts while a holder's authority runs out need not wait for all of it.
-func (c *Custodian) takeFences(now time.Time, fences []gossiper.Fence) {
-	for _, f := range fences {
-		if slices.Contains(c.rosters[f.Cell].Holders, f.Holder) && f.Holder.Fenced() && f.AgeMs > 0 {
-			c.fenced(fenceKey{f.Cell, f.Holder}, now.Add(-time.Duration(f.AgeMs)*time.Millisecond))
-		}
-	}
-}
-
 // mine returns this process's place on a cell's roster.
 func (c *Custodian) mine(cell identifier.Cell) (leaser.Holder, bool) {
 	return c.rosters[cell].Find(c.settings.Instance, c.settings.Incarnation)
@@ -429,32 +300,3 @@
 		}
 	}
 }
-
-// Apply returns the allocations that differences lead to. One whose base is not known
-// here is left to a later copy.
-func (c *Custodian) Apply(deltas []allocator.Delta) []storer.Object {
-	var objects []storer.Object
-	next := map[identifier.Service]*allocator.Allocation{}
-	for _, d := range deltas {
-		base, ok := next[d.Service]
-		if !ok {
-			base = c.allocations[d.Service]
-		}
-		if base != nil && base.Version >= d.Version {
-			continue
-		}
-		a, err := allocator.Apply(base, d)
-		if err != nil {
-			c.observe("difference of an allocation does not fit", map[string]any{"Service": d.Service, "Version": d.Version, "Error": err.Error()})
-			continue
-		}
-		data, err := a.Encode()
-		if err != nil {
-			c.observe("allocation does not encode", map[string]any{"Service": d.Service, "Error": err.Error()})
-			continue
-		}
-		next[d.Service] = a
-		objects = append(objects, storer.Object{Name: AllocationPrefix + string(d.Service), Version: d.Version, Data: data})
-	}
-	return objects
-}
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -20,7 +20,7 @@
 	userTimeout = 2 * time.Second
 	// idleShare is the part of a server's idle time in which a connection is used again:
 	// a request that crosses the server's close is lost.
-	idleShare = 0.6
+	idleShare = 0.8
 	// defaultKeepFor is assumed where the server does not say.
 	defaultKeepFor = 5 * time.Second
 )
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -32,12 +32,13 @@
 type Repeats struct {
 	requests, repeats *Window
 	ratio, extra      float64
+	started           time.Time // Of this process.
 }
 
 // NewRepeats returns the bound of ratio repeats per request in a window, plus extra
-// over all instances.
-func NewRepeats(window time.Duration, ratio, extra float64) *Repeats {
-	return &Repeats{NewWindow(window), NewWindow(window), ratio, extra}
+// over all instances, in a process that has started at a time.
+func NewRepeats(started time.Time, window time.Duration, ratio, extra float64) *Repeats {
+	return &Repeats{NewWindow(window), NewWindow(window), ratio, extra, started}
 }
 
 // safety is the part of a bound that is used: instances see each other late.
@@ -52,7 +53,9 @@
 
 // Take counts a repeat, if it is within this instance's share of the bound.
 func (r *Repeats) Take(now time.Time, instances int, urgent bool) bool {
-	share := r.extra / float64(max(instances, 1))
+	// The process before this one may have used its share of the window just now.
+	age := min(float64(now.Sub(r.started))/float64(r.requests.length), 1)
+	share := age * r.extra / float64(max(instances, 1))
 	allowed := safety * (r.ratio*float64(r.requests.Count(now)) + share)
 	if !urgent {
 		allowed *= commonShare
@@ -70,11 +73,12 @@
 
 // Cold bounds the requests that one cold backend server gets from one instance.
 type Cold struct {
-	sent *Window
+	sent    *Window
+	started time.Time // Of this process.
 }
 
-// NewCold returns a bound that has seen no request.
-func NewCold() *Cold { return &Cold{NewWindow(coldWindow)} }
+// NewCold returns a bound that has seen no request, in a process that has started at a time.
+func NewCold(started time.Time) *Cold { return &Cold{NewWindow(coldWindow), started} }
 
 // Sent counts a request, also while the server is not cold: it may have become cold
 // unnoticed.
@@ -83,6 +87,9 @@
 // May reports whether another request is within this instance's share of perSecond. Where
 // there are more instances than requests a second, those that rank first get one each.
 func (c *Cold) May(now time.Time, perSecond float64, instances, rank int) bool {
+	if now.Sub(c.started) < coldWindow {
+		return false // The process before this one may have sent its share just now.
+	}
 	share := int(perSecond / float64(max(instances, 1)))
 	if share == 0 && rank < int(perSecond) {
 		share = 1
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -124,7 +124,7 @@
 	case "nobody":
 		own = registrar.Ownership{}
 	}
-	p.s = scheduler.New("a", fixed{own})
+	p.s = scheduler.New(start.Add(-time.Minute), "a", fixed{own})
 	p.s.SetServers(p.candidates)
 }
 
@@ -148,7 +148,7 @@
 // TestRefusalsSpread: the load is a crowd that is refused at one moment. Their times to
 // come back must not be one moment too.
 func TestRefusalsSpread(t *testing.T) {
-	s := scheduler.New("a", fixed{})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixed{})
 	seen := map[time.Duration]bool{}
 	for range 100 {
 		ticket := &scheduler.Ticket{Service: "s", Keyed: true, Arrived: start, Deadline: start.Add(time.Second), Decided: make(chan scheduler.Decision, 1)}
@@ -165,7 +165,7 @@
 // may be left without a decision at its deadline.
 func TestBurst(t *testing.T) {
 	rng := rand.New(rand.NewSource(3))
-	s := scheduler.New("a", fixed{})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixed{})
 	s.SetServers([]scheduler.Candidate{candidate("x", "a", 4), candidate("y", "b", 4)})
 	type run struct {
 		server identifier.BackendServer
@@ -231,7 +231,7 @@
 	own := registrar.Ownership{Server: "x", Life: 1, Ready: true}
 	var all []*scheduler.Scheduler
 	for range instances {
-		s := scheduler.New("a", fixed{own})
+		s := scheduler.New(start.Add(-time.Minute), "a", fixed{own})
 		s.SetServers([]scheduler.Candidate{candidate("x", "a", slots)})
 		all = append(all, s)
 	}
@@ -306,7 +306,7 @@
 // TestColdBound: the load is more than a cold server bears. In no second may this
 // instance send it more than its share.
 func TestColdBound(t *testing.T) {
-	s := scheduler.New("a", fixed{})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixed{})
 	s.SetInstances(2)
 	c := candidate("x", "a", 50)
 	c.ColdTill, c.ColdRate = start.Add(time.Hour), 16
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -251,7 +251,7 @@
 	switch {
 	case f.down:
 		return impersonator.Down
-	case r.Expected != "" && r.Expected != f.name, f.keyed && !(r.Keyed && f.grants.Holds(now, r.Key)):
+	case r.Expected != "" && r.Expected != f.name, f.keyed && (!r.Keyed || !f.grants.Holds(now, r.Key)):
 		return impersonator.Misdirected
 	case f.running >= slots+queueLength:
 		return impersonator.Shed
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -170,7 +170,7 @@
 		newer, ok := c.has(callCtx, version)
 		older, ok2 := c.has(callCtx, version-1)
 		cancel()
-		if ok && ok2 && !(newer && older) { // A change came in between if it has both.
+		if ok && ok2 && (!newer || !older) { // A change came in between if it has both.
 			w.checkSettings(asked, c.entry, version, at, newer, older)
 		}
 	}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -237,8 +237,8 @@
 	if _, changed := f.entry.servers[f.number].state(); now.Sub(changed) < contactTime {
 		return
 	}
-	f.backend.arrivals = append(f.backend.arrivals, now)
-	n := countBetween(f.backend.arrivals, now.Add(-time.Second), now.Add(time.Nanosecond))
+	f.arrivals = append(f.arrivals, now)
+	n := countBetween(f.arrivals, now.Add(-time.Second), now.Add(time.Nanosecond))
 	if allowed := coldRate*bounds.ColdOvershoot + bounds.ColdSlack; float64(n) > allowed {
 		w.judge.violated(now, CheckCold, "%s gets %d requests in a second, %.0f are allowed", f.name, n, allowed)
 	}
