--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -170,7 +170,10 @@
 		newer, ok := c.has(callCtx, version)
 		older, ok2 := c.has(callCtx, version-1)
 		cancel()
-		if ok && ok2 && (!newer || !older) { // A change came in between if it has both.
+		w.mu.Lock()
+		changed := w.configVersion != version
+		w.mu.Unlock()
+		if ok && ok2 && !changed {
 			w.checkSettings(asked, c.entry, version, at, newer, older)
 		}
 	}
