--- a/clocker/clocker.go
+++ b/clocker/clocker.go
@@ -3,6 +3,7 @@
 package clocker
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -18,3 +19,13 @@
 	}
 	return time.Unix(ts.Unix())
 }
+
+// Sleep waits and reports whether ctx goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -115,7 +116,7 @@
 	for {
 		pace := m.pace(m.kind)
 		if pace.Wait == 0 {
-			sleep(ctx, pace.List)
+			clocker.Sleep(ctx, pace.List)
 			return ctx.Err()
 		}
 		events, err := m.platform.Watch(ctx, m.kind, from, pace.Wait)
@@ -125,22 +126,12 @@
 		worked()
 		from = max(from, events.Revision)
 		m.apply(events)
-		if len(events.Events) > 0 && !sleep(ctx, pace.Gather) {
+		if len(events.Events) > 0 && !clocker.Sleep(ctx, pace.Gather) {
 			return ctx.Err()
 		}
 	}
 }
 
-// sleep waits and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // Refresh lists the kind anew.
 func (m *Mirror) Refresh() {
 	m.mu.Lock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -238,24 +238,23 @@
 
 // Running returns the requests of this instance at each server.
 func (s *Scheduler) Running() map[identifier.BackendServer]int {
-	running := map[identifier.BackendServer]int{}
-	for id, sv := range s.servers {
-		if sv.running > 0 {
-			running[id] = sv.running
-		}
-	}
-	return running
+	return s.counts(func(sv *server) int { return sv.running })
 }
 
 // WaitingAt returns the requests of this instance that wait for each server.
 func (s *Scheduler) WaitingAt() map[identifier.BackendServer]int {
-	waiting := map[identifier.BackendServer]int{}
+	return s.counts(func(sv *server) int { return sv.waiting })
+}
+
+// counts returns what is not 0 at each server.
+func (s *Scheduler) counts(of func(*server) int) map[identifier.BackendServer]int {
+	counts := map[identifier.BackendServer]int{}
 	for id, sv := range s.servers {
-		if sv.waiting > 0 {
-			waiting[id] = sv.waiting
+		if n := of(sv); n > 0 {
+			counts[id] = n
 		}
 	}
-	return waiting
+	return counts
 }
 
 // run goes through a queue in order and decides what can be decided.
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/imitator"
 	"github.com/turmericlift/turmericlift/leaser"
@@ -104,7 +105,7 @@
 	b.down = true
 	name, life := b.name, b.life
 	b.mu.Unlock()
-	sleep(ctx, lapseTime)
+	clocker.Sleep(ctx, lapseTime)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.name != name {
@@ -132,7 +133,7 @@
 	}
 	b.leftAt = time.Now()
 	b.mu.Unlock()
-	sleep(ctx, drainTime+stayTime)
+	clocker.Sleep(ctx, drainTime+stayTime)
 	b.mu.Lock()
 	b.down = true
 	name := b.name
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/platform"
 	"github.com/turmericlift/turmericlift/platform/impersonator"
@@ -50,7 +51,7 @@
 // run sends requests until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
-	for sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(callerPause))) {
+	for clocker.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(callerPause))) {
 		r := c.next()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTime)
 		if c.rng.Float64() < givesUpShare {
@@ -160,7 +161,7 @@
 // probe looks at which configuration an instance goes by, until ctx ends.
 func (c *caller) probe(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
-	for sleep(ctx, probeEvery) {
+	for clocker.Sleep(ctx, probeEvery) {
 		w := c.world
 		w.mu.Lock()
 		version, at := w.configVersion, w.configAt
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/imitator"
 )
 
@@ -44,13 +45,13 @@
 	{"TerminateInTurn", func(ctx context.Context, w *world, rng *rand.Rand) {
 		for _, e := range w.entries {
 			w.tasks.Go(func(ctx context.Context) { w.restart(ctx, e, syscall.SIGTERM, 0) })
-			sleep(ctx, lasts(rng)/2)
+			clocker.Sleep(ctx, lasts(rng)/2)
 		}
 	}},
 	{"Pause", func(ctx context.Context, w *world, rng *rand.Rand) {
 		e, until := one(rng, w.entries), lasts(rng)
 		e.signal(time.Now(), syscall.SIGSTOP)
-		for end := time.Now().Add(until); time.Now().Before(end) && sleep(ctx, heldPoll); {
+		for end := time.Now().Add(until); time.Now().Before(end) && clocker.Sleep(ctx, heldPoll); {
 			e.touch(time.Now())
 		}
 		e.signal(time.Now(), syscall.SIGCONT)
@@ -96,7 +97,7 @@
 		b, same, after := one(rng, w.backends), rng.Intn(2) == 0, lasts(rng)
 		w.refuse(b, true)
 		w.tasks.Go(b.crash)
-		sleep(ctx, after)
+		clocker.Sleep(ctx, after)
 		b.replace(time.Now(), same)
 		w.refuse(b, false)
 	}},
@@ -107,7 +108,7 @@
 		for _, n := range rng.Perm(len(w.backends))[:3] {
 			pause := lasts(rng) / 4
 			w.tasks.Go(func(ctx context.Context) { w.renew(ctx, w.backends[n], true, pause) })
-			sleep(ctx, pause)
+			clocker.Sleep(ctx, pause)
 		}
 	}},
 	{"Cold", func(_ context.Context, w *world, rng *rand.Rand) {
@@ -131,7 +132,7 @@
 	{"Configure", func(_ context.Context, w *world, _ *rand.Rand) { w.configure(time.Now()) }},
 	{"TakeOutZone", func(ctx context.Context, w *world, rng *rand.Rand) {
 		w.takeOut(time.Now(), "b", true)
-		sleep(ctx, lasts(rng)+mostFault)
+		clocker.Sleep(ctx, lasts(rng)+mostFault)
 		w.takeOut(time.Now(), "b", false)
 	}},
 }
@@ -148,7 +149,7 @@
 	b.mu.Lock()
 	set(b, true)
 	b.mu.Unlock()
-	sleep(ctx, d)
+	clocker.Sleep(ctx, d)
 	b.mu.Lock()
 	set(b, false)
 	b.mu.Unlock()
@@ -160,7 +161,7 @@
 	for _, l := range links {
 		l.set(time.Now(), m)
 	}
-	sleep(ctx, d)
+	clocker.Sleep(ctx, d)
 	for _, l := range links {
 		l.set(time.Now(), Open)
 	}
@@ -183,7 +184,7 @@
 		return
 	}
 	w.refuse(b, true)
-	sleep(ctx, pause)
+	clocker.Sleep(ctx, pause)
 	b.replace(time.Now(), false)
 	w.refuse(b, false)
 }
@@ -191,7 +192,7 @@
 // spoilStore lets the store misbehave for a time.
 func (w *world) spoilStore(ctx context.Context, f imitator.ObjectFaults, d time.Duration) {
 	w.objects.SetFaults(f)
-	for end := time.Now().Add(d); time.Now().Before(end) && sleep(ctx, heldPoll); {
+	for end := time.Now().Add(d); time.Now().Before(end) && clocker.Sleep(ctx, heldPoll); {
 		w.touchStore(time.Now())
 	}
 	w.objects.SetFaults(imitator.ObjectFaults{})
@@ -202,7 +203,7 @@
 func (w *world) restart(ctx context.Context, e *entry, s syscall.Signal, pause time.Duration) {
 	e.signal(time.Now(), s)
 	w.awaitEnd(ctx, e)
-	sleep(ctx, pause)
+	clocker.Sleep(ctx, pause)
 	if err := e.start(time.Now()); err != nil {
 		w.judge.violated(time.Now(), CheckExit, "%v", err)
 	}
@@ -211,7 +212,7 @@
 // awaitEnd waits for the end of a process, and kills it when its time is over.
 func (w *world) awaitEnd(ctx context.Context, e *entry) {
 	end := time.Now().Add(bounds.GraceTime)
-	for sleep(ctx, heldPoll) {
+	for clocker.Sleep(ctx, heldPoll) {
 		w.reap(time.Now(), e)
 		e.mu.Lock()
 		gone := e.cmd == nil
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/supervisor"
 )
 
@@ -166,7 +167,7 @@
 // hold waits while nothing passes.
 func (l *link) hold(ctx context.Context, cut Mode) error {
 	if m, _ := l.state(); m == Delayed {
-		sleep(ctx, linkDelay)
+		clocker.Sleep(ctx, linkDelay)
 	}
 	for {
 		m, _ := l.state()
@@ -176,18 +177,8 @@
 		if m != Silent && m != cut {
 			return nil
 		}
-		if !sleep(ctx, heldPoll) {
+		if !clocker.Sleep(ctx, heldPoll) {
 			return ctx.Err()
 		}
 	}
 }
-
-// sleep waits and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/platform"
 	"github.com/turmericlift/turmericlift/platform/impersonator"
@@ -163,7 +164,7 @@
 		e.mu.Lock()
 		running := e.cmd != nil
 		e.mu.Unlock()
-		if !running || !sleep(ctx, heldPoll) {
+		if !running || !clocker.Sleep(ctx, heldPoll) {
 			return
 		}
 		_, _, _ = e.exited(now) // Its end is wanted.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -19,6 +19,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/supervisor"
 )
@@ -106,7 +107,7 @@
 		c := newCaller(w, e, fmt.Sprintf("prober-%d", n), seed)
 		w.tasks.Go(func(context.Context) { c.probe(callCtx) })
 	}
-	sleep(ctx, startTime)
+	clocker.Sleep(ctx, startTime)
 	struck = w.strike(ctx, cfg.FaultTime, rand.New(rand.NewSource(seed)))
 	if !w.awaitServed(ctx, recoverTime) {
 		w.judge.violated(time.Now(), CheckRecovery, "not everything is served %s after the last fault", recoverTime)
@@ -134,7 +135,7 @@
 		})
 		struck++
 		open++
-		if !sleep(ctx, time.Duration(rng.ExpFloat64()*pause)) {
+		if !clocker.Sleep(ctx, time.Duration(rng.ExpFloat64()*pause)) {
 			break
 		}
 		for _, e := range w.entries {
@@ -181,7 +182,7 @@
 		if status == http.StatusOK {
 			return true
 		}
-		if !sleep(ctx, recoverPause) {
+		if !clocker.Sleep(ctx, recoverPause) {
 			return false
 		}
 	}
