--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -130,7 +130,6 @@
 	crashes   *quarantiner.Quarantiner
 	reported  []crashReport
 	pushed    []push // Written a short while ago, told to the others.
-	crashRuns uint64
 	// historyLost is the kind whose watch found the store's history gone; listedAfter is the
 	// revision of its list after that.
 	historyLost storer.ObjectKind
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -183,10 +183,7 @@
 		}
 		now := c.clock()
 		c.mu.Lock()
-		c.crashRuns++
-		crash := quarantiner.Crash{Fingerprint: f, Run: quarantiner.Run{
-			Instance: c.settings.Instance, Incarnation: c.settings.Incarnation, Number: c.crashRuns,
-		}}
+		crash := quarantiner.Crash{Fingerprint: f, Run: quarantiner.Run{Server: e.ID, Life: e.Life}}
 		c.crashes.Crashed(now, crash)
 		c.reported = append(c.reported, crashReport{crash, now})
 		c.mu.Unlock()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -10,13 +10,18 @@
 
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
 )
 
-// Run names one run of a request, so that a crash that is heard of twice counts once.
+// Run names one run of a request, so that a crash that is heard of twice counts once. Where
+// the life of the server that crashed is known, that alone names it: many requests with one
+// fingerprint may run there when it crashes for another reason.
 type Run struct {
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 	Number      uint64
+	Server      identifier.BackendServer
+	Life        registrar.Life
 }
 
 // Crash is the report of a crash that a request was part of.
