--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -135,6 +135,7 @@
 	historyLost storer.ObjectKind
 	listedAfter identifier.Version
 	wasPlanner  bool
+	lags        map[storer.ObjectKind]*mirrorer.Lag // Of the kinds that are watched.
 	pools       map[poolKey]*exchanger.Pool
 	orders      map[poolKey]*exchanger.Pool
 	verified    map[identifier.BackendServer]verification
@@ -176,7 +177,7 @@
 		heat: map[identifier.Service]*allocator.Counter{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
 		verified:  map[identifier.BackendServer]verification{},
-		peersBusy: map[string]bool{}, done: make(chan error, 1),
+		peersBusy: map[string]bool{}, lags: map[storer.ObjectKind]*mirrorer.Lag{}, done: make(chan error, 1),
 	}
 	c.view = newView()
 	c.custody = custodian.New(now, custodian.Settings{
@@ -187,6 +188,9 @@
 	for _, seed := range s.Seeds {
 		c.custody.Gossip.Hint(seed)
 	}
+	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations} {
+		c.lags[kind] = &mirrorer.Lag{}
+	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Own} {
 		c.mirrors[kind] = mirrorer.New(kind, store, c.pace, clock, c.changed, c.storeEnded,
 			func(ctx context.Context, failures int) { c.storePause(ctx, kind, failures) })
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -127,6 +127,10 @@
 		s.Replaced = append(s.Replaced, gossiper.LostServer{Server: id, Life: life})
 	}
 	s.Allocations = c.custody.Versions()
+	s.Newest = make(map[storer.ObjectKind]identifier.Version, len(c.lags))
+	for kind := range c.lags {
+		s.Newest[kind] = c.mirrors[kind].Newest()
+	}
 	c.addPushes(now, &s)
 	s.Running, s.Waiting = c.scheduler.Running(), c.scheduler.WaitingAt()
 	kept := c.reported[:0]
@@ -234,6 +238,7 @@
 		c.replace(now, r.Server, r.Life)
 	}
 	c.relist(s.ListedAfter)
+	c.catchUp(now, s)
 	return true
 }
 
@@ -251,6 +256,26 @@
 	}
 }
 
+// catchUp has a kind listed anew of which another instance has a newer object for longer than
+// a watch takes to tell. The caller holds the lock.
+func (c *Conductor) catchUp(now time.Time, s gossiper.State) {
+	for kind, lag := range c.lags {
+		patience := lagTime
+		if kind != c.kinds.Config {
+			patience += gatherTime * time.Duration(c.custody.Gossip.Share(now))
+		}
+		m := c.mirrors[kind]
+		if lag.Heard(now, s.Newest[kind], m.Revision(), patience) {
+			c.log.WithFields(logrus.Fields{"Kind": kind, "Peer": s.Instance, "Newest": s.Newest[kind], "Revision": m.Revision()}).Info("another instance has newer objects, listed anew")
+			m.Refresh()
+		}
+	}
+}
+
+// lagTime is the time that a watch may take to tell of a change that another instance has
+// heard of.
+const lagTime = 300 * time.Millisecond
+
 // copyRequest asks for what is newer than the revisions, and of the system's own objects
 // for those that are newer than the versions.
 type copyRequest struct {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -74,6 +74,9 @@
 	// ListedAfter is a revision of the platform's store before which its history is gone:
 	// what was read before is to be listed anew, since watches may have missed changes.
 	ListedAfter identifier.Version
+	// Newest is the highest version of an object that the sender has, by kind of the
+	// platform's objects.
+	Newest map[storer.ObjectKind]identifier.Version
 	// Allocations are the versions of the allocations that the sender has.
 	Allocations map[identifier.Service]identifier.Version
 	Objects     []storer.Object                  // That the sender has just written.
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -224,6 +224,24 @@
 	return c, m.asOf
 }
 
+// Newest returns the highest version of an object of the copy.
+func (m *Mirror) Newest() identifier.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := identifier.Version(0)
+	for _, o := range m.objects {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
+// Revision returns the revision of the newest answer.
+func (m *Mirror) Revision() identifier.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // Get returns an object of the copy.
 func (m *Mirror) Get(name string) (storer.Object, bool) {
 	m.mu.Lock()
