--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	// slots is the number of requests that a server runs at a time.
 	slots = 4
 	// queueLength is the number of requests that wait for a slot; one more is shed.
 	queueLength = 8
--- a/soaker/judge.go
+++ b/soaker/judge.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// began notes that a request on a key began.
+// keyRan notes when a request on a key began at a server.
 func (j *judge) keyRan(now time.Time, key identifier.Point, by holder) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -27,7 +27,7 @@
 	applyTime   = 2 * time.Second // For a configuration.
 	clearTime   = 5 * time.Second // For a zone that is taken out.
 	recoverTime = 15 * time.Second
-	cutSlack    = 200 * time.Millisecond
+	cutSlack    = 200 * time.Millisecond // Before the end of the time that a shutdown has.
 )
 
 var bounds = platform.Bounds{
