--- a/conductor/view.go
+++ b/conductor/view.go
@@ -115,6 +115,14 @@
 		}
 		c.view.table, c.view.configObjectVersion = table, o.Version
 		c.log.WithFields(logrus.Fields{"ConfigVersion": table.Version, "Version": o.Version}).Info("routing configuration is in force")
+		c.logUnknownKinds(table)
+	}
+}
+
+// logUnknownKinds logs the kinds of routes that are unknown, each once with the number of its routes.
+func (c *Conductor) logUnknownKinds(table *director.Table) {
+	for kind, n := range table.UnknownKinds() {
+		c.log.WithFields(logrus.Fields{"ConfigVersion": table.Version, "Kind": kind, "Routes": n}).Warning("routes are of an unknown kind, their requests are run at most once")
 	}
 }
 
--- a/director/director.go
+++ b/director/director.go
@@ -27,6 +27,7 @@
 	Host          string
 	PathPrefix    string
 	Idempotent    bool          // Its requests may be run more than once.
+	UnknownKind   string        // The kind of the route, quoted, if it is unknown; its requests count as not idempotent.
 	Timeout       time.Duration // Longest time that a caller waits for an answer.
 	TargetLatency time.Duration // An answer that takes longer is worth less.
 	Priority      Priority
@@ -78,6 +79,19 @@
 	return t
 }
 
+// UnknownKinds returns the number of routes of each unknown kind.
+func (t *Table) UnknownKinds() map[string]int {
+	kinds := map[string]int{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.UnknownKind != "" {
+				kinds[r.UnknownKind]++
+			}
+		}
+	}
+	return kinds
+}
+
 // Match returns the route of a host whose path prefix is the longest that path starts with, or nil if there is none.
 // The host may have a port, which is ignored, and may be in upper case.
 func (t *Table) Match(host, path string) *Route {
