exchanger, forwarder: large answers are streamed, answers are bounded in bytes and time

Causes, from reading: net/http bounds neither the status line nor the headers of an answer that it reads from a connection, so a backend server that sends a head without end filled the memory; a body was held whole, up to 32 MiB a request; a caller that reads slowly, or never completes its body, was waited for without end; idle connections were looked at only when the next request took one, so bytes past an answer stayed in the receive buffer.

Now the head is bounded to 64 KiB, 64 KiB of a body are held and the rest is streamed with the deadline as bound, idle connections are swept, and an answer that breaks off after its first part ends with a reset of the caller's connection, also for HTTP/1.0, where a close would look complete.

Two refusals were not true: an idempotent request whose first attempt may have run ended with 503 if the retry was refused by a server or by the retry budget; it is 502 now. A retry of a request is not sent over a connection that carried an earlier attempt of it: a late second copy of the first refusal would have counted as its answer.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -274,7 +274,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context){
-		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop,
+		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop,
 	} {
 		c.tasks.Go(loop)
 	}
@@ -284,6 +284,7 @@
 	front := &http.Server{
 		Handler:           forwarder.New(c.codec.HeaderNames, c, c.clock, c.log.WithField("Subsystem", "requests")),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		ConnContext: forwarder.WithCallerConn,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(c.serveReady), ReadHeaderTimeout: headerTimeout}
 	ops := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout}
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -102,6 +102,7 @@
 	} else {
 		a, err = c.sendVerified(ctx, o, r, orders, data, verified)
 	}
+	a.Close()
 	var unsent *exchanger.UnsentError
 	var tooNew *exchanger.ConnectionTooNewError
 	switch {
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -97,6 +99,21 @@
 	return p.Do(ctx, r)
 }
 
+// sweepInterval is the time between two checks of all idle connections to backend servers.
+const sweepInterval = 3 * time.Second
+
+// sweepLoop closes idle connections that cannot be used any more, until ctx ends.
+func (c *Conductor) sweepLoop(ctx context.Context) {
+	runEvery(ctx, sweepInterval, nil, func() {
+		c.mu.Lock()
+		pools := slices.AppendSeq(slices.Collect(maps.Values(c.pools)), maps.Values(c.orders))
+		c.mu.Unlock()
+		for _, p := range pools {
+			p.Sweep()
+		}
+	})
+}
+
 // RecordOutcome implements forwarder.Core: it records how a request ended at a backend server.
 func (c *Conductor) RecordOutcome(e registrar.Entry, r scheduler.Report) {
 	now := c.clock()
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -68,10 +68,40 @@
 	}
 }
 
+// Sweep closes the idle connections that cannot be used any more: they were idle for too long, the server has closed them,
+// or it has sent bytes that belong to no request. Without it, such bytes would fill the receive buffers of connections for
+// which there is no further request.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	now := p.clock()
+	usable := make([]*conn, 0, len(idle))
+	for _, c := range idle {
+		if now.Sub(c.idleAt) > c.maxIdleTime() || !alive(c) {
+			p.discard(c)
+			continue
+		}
+		usable = append(usable, c)
+	}
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.idle = append(usable, p.idle...)
+	}
+	p.mu.Unlock()
+	if closed {
+		for _, c := range usable {
+			p.discard(c)
+		}
+	}
+}
+
 // Do sends a request over an idle connection or a new one and returns the answer. The errors are UnsentError and
 // BrokenError.
 func (p *Pool) Do(ctx context.Context, r *Request) (Answer, error) {
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, r.ID)
 	if err != nil {
 		return Answer{}, &UnsentError{err}
 	}
@@ -118,16 +148,16 @@
 	return &ConnectionTooNewError{c.dialedAt}
 }
 
-// exchangeOver sends a request over a connection that was taken out of the pool, and puts the connection back or closes
-// it.
+// exchangeOver sends a request over a connection that was taken out of the pool. It puts the connection back or closes it
+// when the answer is read.
 func (p *Pool) exchangeOver(ctx context.Context, c *conn, r *Request) (Answer, error) {
-	a, keep, err := c.exchange(ctx, r)
-	if keep {
-		p.put(c)
-	} else {
-		p.discard(c)
-	}
-	return a, err
+	return c.exchange(ctx, r, func(keep bool) {
+		if keep {
+			p.put(c)
+		} else {
+			p.discard(c)
+		}
+	})
 }
 
 // put adds a connection to the idle ones, or closes it if the pool is closed or over its limit.
@@ -155,9 +185,9 @@
 	p.mu.Unlock()
 }
 
-// get returns an idle connection, or a new one if there is none.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	if c := p.takeIdle(func(*conn) bool { return true }); c != nil {
+// get returns an idle connection for a request with an ID, or a new one if there is none.
+func (p *Pool) get(ctx context.Context, id string) (*conn, error) {
+	if c := p.takeIdle(func(c *conn) bool { return c.mayCarry(id) }); c != nil {
 		return c, nil
 	}
 	return p.dial(ctx)
@@ -271,7 +301,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), dialedAt: dialedAt, idleAt: dialedAt}, nil
+	head := &headLimiter{conn: c}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), dialedAt: dialedAt, idleAt: dialedAt}, nil
 }
 
 // NewDialer returns a dialer whose connections fail when the other side does not respond for unresponsiveTimeout: it
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,14 +1,14 @@
-// Package forwarder serves callers' HTTP requests. Each gets the complete answer of a backend server, or an error
-// answer whose status says whether the request may have run: the status 503 says that it has not.
+// Package forwarder serves callers' HTTP requests. Each gets the answer of a backend server, or an error answer whose
+// status says whether the request may have run: the status 503 says that it has not. Large answers are streamed; if one
+// breaks off, the caller's connection is reset, so that the answer does not look complete.
 //
-// Start with Forwarder.ServeHTTP in forwarder.go, which also has the sending, the retries and the answers; parse.go
-// reads requests and headers.
+// Start with Forwarder.ServeHTTP in forwarder.go, which also has the sending and the retries; parse.go reads requests and
+// headers, and answer.go writes the answers.
 package forwarder
 
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -138,11 +138,15 @@
 	req, res := f.parse(arrived, w, r)
 	if res == nil {
 		ctx, cancel := context.WithTimeout(r.Context(), req.deadline.Sub(f.clock()))
+		defer cancel()
 		res = f.serve(ctx, r.Context(), req)
-		cancel()
 	}
-	f.write(w, res)
+	err := f.write(w, req, res)
 	f.record(req, res)
+	if err != nil {
+		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": req.server, "Error": err}).Info("answer broke off after its first part was sent to the caller, or the caller left; its connection is reset")
+		abort(r.Context())
+	}
 }
 
 // serve sends the request to backend servers until one gives a valid answer, or the request must not be sent again. ctx
@@ -159,7 +163,7 @@
 		}
 		if req.sends > 0 && !f.core.MayRetry(req.service, req.urgent()) {
 			f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled})
-			return &result{code: answerer.CodeQueueFull, status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, detail: "too many retries to the service; the request was not sent again"}
+			return req.notRun(&result{code: answerer.CodeQueueFull, retryAfter: defaultRetryAfter, detail: "too many retries to the service; the request was not sent again"})
 		}
 		if res := f.attempt(ctx, caller, req, d.Server); res != nil {
 			return res
@@ -246,6 +250,7 @@
 		report.Outcome = scheduler.Answered
 		f.core.RecordOutcome(e, report)
 		if a.Header.Get("Content-Encoding") != "" || a.Status < 300 && a.Header.Get(f.names.Seal) == "" {
+			a.Close()
 			return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer did not come unchanged from the backend server"})
 		}
 		f.core.RecordCompletion(req.fingerprint)
@@ -254,6 +259,7 @@
 		}
 		return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
 	}
+	a.Close()
 	report.Outcome = scheduler.Shed
 	if by := identifier.BackendServer(a.Header.Get(f.names.Server)); a.Status == http.StatusMisdirectedRequest && by != "" && by != e.ID {
 		f.core.RecordReplaced(e, by)
@@ -271,11 +277,21 @@
 		req.sent[e.ID] = true
 	}
 	if req.sends >= max(req.route.MaxAttempts, 1)+1 {
-		return &result{code: answerer.CodeShed, status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, detail: "backend servers refused the request without running it"}
+		return req.notRun(&result{code: answerer.CodeShed, retryAfter: defaultRetryAfter, detail: "backend servers refused the request without running it"})
 	}
 	return nil
 }
 
+// notRun completes the result of a request whose last attempt did not run. The status 503 says that no attempt has run;
+// it is 502 if an earlier attempt may have run.
+func (req *activeRequest) notRun(res *result) *result {
+	res.status = http.StatusServiceUnavailable
+	if req.mayHaveRun {
+		res.status, res.retryAfter = http.StatusBadGateway, 0
+	}
+	return res
+}
+
 // abandoned returns the result of a request whose caller left or whose deadline passed. sent says whether the last
 // attempt was sent.
 func (f *Forwarder) abandoned(caller context.Context, req *activeRequest, sent bool) *result {
@@ -291,7 +307,7 @@
 
 // refused returns the result of a request that the scheduler refused.
 func (f *Forwarder) refused(req *activeRequest, d scheduler.Decision) *result {
-	res := &result{status: http.StatusServiceUnavailable, retryAfter: d.RetryAfter}
+	res := &result{retryAfter: d.RetryAfter}
 	switch d.Reason {
 	case scheduler.NoOwner:
 		res.code, res.detail = answerer.CodeNoOwner, "no backend server owns the key at present"
@@ -300,10 +316,7 @@
 	case scheduler.QueueTooLong, scheduler.Expired, scheduler.NotRefused:
 		res.code, res.detail = answerer.CodeQueueFull, "the expected wait in the queue is longer than the deadline allows"
 	}
-	if req.mayHaveRun {
-		res.status, res.retryAfter = http.StatusBadGateway, 0 // An earlier attempt may have run.
-	}
-	return res
+	return req.notRun(res)
 }
 
 // request returns the request that is sent to a backend server, with the time that is left before the deadline.
@@ -318,30 +331,6 @@
 	}
 }
 
-// write writes the answer to the caller.
-func (f *Forwarder) write(w http.ResponseWriter, res *result) {
-	h := w.Header()
-	if res.answer != nil {
-		for name, values := range res.answer.Header {
-			h[name] = values
-		}
-		for _, name := range connectionHeaders {
-			h.Del(name)
-		}
-		h.Set("Content-Length", strconv.Itoa(len(res.answer.Body)))
-		w.WriteHeader(res.status)
-		_, _ = w.Write(res.answer.Body) // An error means that the caller has left, so there is nothing to report.
-		return
-	}
-	if res.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Result-Code", strconv.Itoa(int(res.code)))
-	w.WriteHeader(res.status)
-	_, _ = io.WriteString(w, res.code.String()+": "+res.detail+"\n")
-}
-
 // record counts and logs an answered request.
 func (f *Forwarder) record(req *activeRequest, res *result) {
 	latency := f.clock().Sub(req.arrived)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -134,6 +134,7 @@
 		"ReadEncoded":                 {"/read/a", []string{"encoded", "ok"}, 200, 2},
 		"ReadUnsealed":                {"/read/a", []string{"unsealed", "ok"}, 200, 2},
 		"ReadBrokenThenNoRoom":        {"/read/a", []string{"broken"}, 502, 1},
+		"ReadBrokenThenShed":          {"/read/a", []string{"broken", "shed", "shed"}, 502, 3},
 		"ReadFailed":                  {"/read/a", []string{"failed"}, 500, 1},
 		"Write":                       {"/write/a", []string{"ok"}, 200, 1},
 		"WriteBroken":                 {"/write/a", []string{"broken", "ok"}, 502, 1},
@@ -206,6 +207,15 @@
 	}
 }
 
+// TestRetryRefusedAfterRun guards against a caller that is told that its request has not run although its first attempt
+// may have: the retry after the broken connection is not within the bound.
+func TestRetryRefusedAfterRun(t *testing.T) {
+	k := &core{table: table(), steps: []string{"broken", "ok"}}
+	if resp := send(k, http.MethodPost, "/read/a", nil); resp.Code != http.StatusBadGateway || len(k.requests) != 1 {
+		t.Errorf("status %d after %d requests to backend servers, want 502 after 1", resp.Code, len(k.requests))
+	}
+}
+
 // TestReplaced checks that a server is reported as replaced after the first answer from its address that names another
 // server. Each further request to the address would count as a request to the other server's service.
 func TestReplaced(t *testing.T) {
--- a/forwarder/parse.go
+++ b/forwarder/parse.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -39,9 +40,11 @@
 	}
 	req.deadline = arrived.Add(left)
 	req.isRetry = f.isRetry(req.route.Name, left)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(table.Limits.MaxBodyBytes, 1)))
+	body, err := readBody(w, r, left, table.Limits.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return req, &result{code: answerer.CodeExpired, status: http.StatusRequestTimeout, detail: "the body did not arrive before the deadline; the request was not sent"}
 	case errors.As(err, &tooLarge):
 		return req, &result{code: answerer.CodeBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "the body is larger than the limit"}
 	case err != nil:
@@ -64,6 +67,23 @@
 	return req, nil
 }
 
+// readBody reads a caller's body of at most limit bytes. It fails if the body takes longer than the given time.
+func readBody(w http.ResponseWriter, r *http.Request, within time.Duration, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	// Not all writers have deadlines: those that have none are not bounded.
+	caller := http.NewResponseController(w)
+	_ = caller.SetReadDeadline(time.Now().Add(within))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(limit, 1)))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, err // The deadline stays, or net/http would wait for the rest of the body before it answers.
+	}
+	// net/http goes on reading from the connection, to notice that the caller leaves.
+	_ = caller.SetReadDeadline(time.Time{})
+	return body, err
+}
+
 // parseKey reads the key of a request to a keyed service. It returns nil, or the answer to a request whose key is
 // invalid.
 func (f *Forwarder) parseKey(req *activeRequest, table *director.Table, r *http.Request) *result {
