gossiper, conductor: relays in each zone pass on the states of a large installation

At 118 instances these are 1,170 datagrams a second and instance, 13,800 handshakes at the start, and each instance renewed its view of all servers for each instance that it met.

Now an instance with more than 12 others sends its state to two relays of its zone; a relay passes on beats of all, profiles that changed or are due, and the sums of the requests of each zone, to its zone and to the relays of the others. Releases and key rates go to the planner as before. Roster confirmations also come with copies, since echoes reach direct contacts only. Objects of members are not announced; entries, members and rosters that are unchanged are not decoded again; the candidates for granter and planner are collected once for all cells.

Ruled out: longer intervals from each to each (a granter's loss would be noticed after its leases have lapsed).

Tests: gossiper/relay_test.go, in virtual time at 4, 12, 14, 30, 118 and 300 instances: start from three seeds, messages a instance, single losses, half of the fleet at once, a cut zone, lost messages, sums of load.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -162,6 +162,7 @@
 	leaving           bool
 	wasReady          bool            // Set once the instance was ready for the first time.
 	sendingTo         map[string]bool // Addresses to which a state is being sent.
+	refreshDue        bool            // The number of instances changed since the last refresh.
 	done              chan error
 }
 
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/mirrorer"
@@ -38,6 +40,9 @@
 const (
 	// keyRatesInterval is the time between two reports of request rates by key to the planner.
 	keyRatesInterval = 200 * time.Millisecond
+	// keyRatesFactor bounds the reports that the planner of a large installation gets: the time between two reports is the
+	// interval, times the interval factor, divided by this.
+	keyRatesFactor = 3
 	// crashReportTime is how long a crash is reported to the other instances.
 	crashReportTime = 5 * time.Second
 	// sendTimeout bounds the sending of a state.
@@ -56,50 +61,111 @@
 // state for the planner also carries releases, unreachable servers and, less often, request rates
 // by key.
 func (c *Conductor) sendLoop(ctx context.Context) {
-	var keyRatesSentAt time.Time
+	var report plannerReport
+	var sentAt time.Time
 	runEvery(ctx, gossiper.SendInterval, c.sendTrigger, func() {
 		now := c.clock()
 		c.mu.Lock()
-		c.scheduler.RecordPeerLoad(c.peerLoad(now))
-		state := c.ownership.Gossip.Compose(now, c.state(now, c.ownership.Gossip.IsFull(now)))
-		targets := c.ownership.Gossip.Targets(now)
-		planner := c.ownership.Planner(now)
-		plannerAddress := ""
-		forPlanner := state
-		if p := c.ownership.Gossip.Peer(planner); p != nil {
-			plannerAddress = p.Address
-			forPlanner.Releases, forPlanner.LostServers = c.ownership.Releases(now), c.ownership.LostServers(now)
-			if now.Sub(keyRatesSentAt) >= keyRatesInterval {
-				keyRatesSentAt = now
-				forPlanner.KeyRates = c.keyRateSketches(now)
-			}
+		// A send that was triggered between two intervals carries what is urgent, without what is relayed regularly.
+		triggered := now.Sub(sentAt) < gossiper.SendInterval/2
+		if !triggered {
+			sentAt = now
+			c.scheduler.RecordPeerLoad(c.ownership.Gossip.Load(now, maps.Keys(c.view.entries)))
 		}
+		messages := c.messages(now, &report, triggered)
 		for _, p := range c.ownership.Gossip.ReconnectTargets(now) {
 			c.tasks.Go(func(context.Context) { c.transport.Drop(p) })
 		}
 		c.mu.Unlock()
-		plain, err := cbor.Marshal(state)
-		if err != nil {
-			c.log.WithField("Error", err).Error("state does not encode, it is not sent")
-			return
-		}
-		planning := plain
-		if plannerAddress != "" {
-			if planning, err = cbor.Marshal(forPlanner); err != nil {
-				c.log.WithField("Error", err).Error("state for the planner does not encode, no state is sent")
-				return
+		for _, m := range messages {
+			data, err := cbor.Marshal(m.message)
+			if err != nil {
+				c.log.WithField("Error", err).Error("message to other instances does not encode, it is not sent")
+				continue
 			}
-		}
-		for _, address := range targets {
-			data := plain
-			if address == plannerAddress {
-				data = planning
+			for _, address := range m.addresses {
+				c.sendTo(address, data)
 			}
-			c.sendTo(address, data)
 		}
 	})
 }
 
+// outgoing is a message and the addresses that get it.
+type outgoing struct {
+	message   gossiper.Message
+	addresses []string
+}
+
+// plannerReport records what the last state for the planner contained.
+type plannerReport struct {
+	keyRatesAt time.Time
+	planner    identifier.Instance
+	urgent     bool // It had releases or unreachable servers.
+}
+
+// messages composes this instance's state and returns the messages to send now. The caller holds the lock.
+func (c *Conductor) messages(now time.Time, report *plannerReport, triggered bool) []outgoing {
+	gossip := c.ownership.Gossip
+	state := gossip.Compose(now, c.state(now, gossip.IsFull(now)))
+	d := gossip.Deliveries(now)
+	forPlanner, planner := c.stateForPlanner(now, state, report)
+	messages := []outgoing{}
+	add := func(m gossiper.Message, addresses []string) {
+		m.Introduce = d.Introduce
+		addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == planner })
+		if len(addresses) > 0 {
+			messages = append(messages, outgoing{m, addresses})
+		}
+	}
+	scopes := [...]gossiper.Scope{gossiper.ScopeState, gossiper.ScopeZone, gossiper.ScopeAll}
+	if triggered {
+		scopes = [...]gossiper.Scope{gossiper.ScopeState, gossiper.ScopeState, gossiper.ScopeState}
+	}
+	plannerScope := gossiper.ScopeState
+	for n, addresses := range [][]string{d.Peers, d.Relays, d.Members} {
+		if slices.Contains(addresses, planner) {
+			plannerScope = scopes[n]
+		}
+		add(gossip.Relay(now, state, scopes[n]), addresses)
+	}
+	if len(d.Newcomers) > 0 {
+		if slices.Contains(d.Newcomers, planner) {
+			plannerScope = gossiper.ScopeIntroduction
+		}
+		add(gossip.Relay(now, state, gossiper.ScopeIntroduction), d.Newcomers)
+	}
+	if planner != "" {
+		messages = append(messages, outgoing{gossip.Relay(now, forPlanner, plannerScope), []string{planner}})
+	}
+	return messages
+}
+
+// stateForPlanner returns the state with what only the planner needs, and the planner's address. The address is empty if
+// there is no other planner, or, where states are relayed, nothing to report to it. The caller holds the lock.
+func (c *Conductor) stateForPlanner(now time.Time, state gossiper.State, report *plannerReport) (gossiper.State, string) {
+	gossip := c.ownership.Gossip
+	planner := c.ownership.Planner(now)
+	p := gossip.Peer(planner)
+	if p == nil {
+		return state, ""
+	}
+	state.Releases, state.LostServers = c.ownership.Releases(now), c.ownership.LostServers(now)
+	ratesDue := now.Sub(report.keyRatesAt) >= keyRatesInterval*time.Duration(gossip.IntervalFactor(now))/keyRatesFactor
+	if !gossip.Relayed() {
+		ratesDue = now.Sub(report.keyRatesAt) >= keyRatesInterval
+	}
+	urgent := len(state.Releases) > 0 || len(state.LostServers) > 0
+	if gossip.Relayed() && !ratesDue && !urgent && !report.urgent && report.planner == planner {
+		return state, ""
+	}
+	report.planner, report.urgent = planner, urgent
+	if ratesDue {
+		report.keyRatesAt = now
+		state.KeyRates = c.keyRateSketches(now)
+	}
+	return state, p.Address
+}
+
 // sendTo sends a state to an address, unless an earlier one is still being sent to it.
 func (c *Conductor) sendTo(address string, data []byte) {
 	c.mu.Lock()
@@ -170,21 +236,6 @@
 // announceTime is how long a write is announced: two states.
 const announceTime = 2 * gossiper.SendInterval
 
-// peerLoad returns, by backend server, the number of requests that the other instances have
-// running there and the number that wait for it.
-func (c *Conductor) peerLoad(now time.Time) (running, waiting map[identifier.BackendServer]int) {
-	running, waiting = map[identifier.BackendServer]int{}, map[identifier.BackendServer]int{}
-	for _, p := range c.ownership.Gossip.Live(now) {
-		for id, n := range p.RunningRequests {
-			running[id] += n
-		}
-		for id, n := range p.WaitingRequests {
-			waiting[id] += n
-		}
-	}
-	return running, waiting
-}
-
 // keyRateSketches returns this instance's request rates by key for each service.
 func (c *Conductor) keyRateSketches(now time.Time) map[identifier.Service]allocator.Sketch {
 	sketches := map[identifier.Service]allocator.Sketch{}
@@ -194,22 +245,36 @@
 	return sketches
 }
 
-// HandleMessage implements transporter.Handler: it applies the state of another instance.
+// HandleMessage implements transporter.Handler: it applies the state of another instance, and what it relays.
 func (c *Conductor) HandleMessage(data []byte) {
-	var s gossiper.State
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		c.log.WithField("Error", err).Warning("state of another instance does not decode, it is dropped")
+	var m gossiper.Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		c.log.WithField("Error", err).Warning("message of another instance does not decode, it is dropped")
 		return
 	}
+	s := m.State
 	c.mu.Lock()
-	isNew := c.handleState(c.clock(), s)
-	objects := s.WrittenObjects
+	now := c.clock()
+	isNew := c.handleState(now, s)
+	if m.Introduce {
+		c.ownership.Gossip.RequestIntroduction(s.Instance)
+	}
+	for _, f := range m.Profiles {
+		c.handleProfile(now, f)
+	}
+	c.ownership.Gossip.RecordBeats(now, m.Beats)
+	c.ownership.Gossip.RecordLoads(now, m.Loads)
+	objects := slices.Clone(s.WrittenObjects)
 	if isNew {
 		objects = append(objects, c.ownership.ExpandDeltas(s.AllocationDeltas)...)
 	}
+	forwards := isNew && c.ownership.Gossip.Forwards()
 	c.mu.Unlock()
 	if len(objects) > 0 {
-		c.mirrors[c.kinds.Shared].Merge(objects)
+		changed := c.mirrors[c.kinds.Shared].Merge(objects)
+		if forwards {
+			c.forwardWrites(now, s, changed)
+		}
 	}
 	if isNew && len(s.Releases) > 0 {
 		trigger(c.planTrigger)
@@ -230,13 +295,33 @@
 	if !c.ownership.HandleState(now, s) {
 		return false
 	}
+	c.applyState(now, before, s)
+	c.relistIfBehind(now, s)
+	return true
+}
+
+// handleProfile applies the relayed profile of another instance. The caller holds the lock.
+func (c *Conductor) handleProfile(now time.Time, f gossiper.Profile) {
+	var before gossiper.Peer
+	if old := c.ownership.Gossip.Peer(f.Instance); old != nil {
+		before = *old
+	}
+	if s, ok := c.ownership.HandleProfile(now, f); ok {
+		c.applyState(now, before, s)
+	}
+}
+
+// applyState applies what changed with a newer state of another instance. before is what was known of the instance. The
+// caller holds the lock.
+func (c *Conductor) applyState(now time.Time, before gossiper.Peer, s gossiper.State) {
+	same := before.Incarnation == s.Incarnation
 	if before.Incarnation != 0 && !same {
 		// Connections to the former process lead nowhere.
 		c.tasks.Go(func(context.Context) { c.transport.Drop(s.Address) })
 	}
 	if !same || before.Leaving != s.Leaving || c.ownership.Gossip.Peer(s.Instance).HeardSince.Equal(now) {
 		c.log.WithFields(logrus.Fields{"Peer": s.Instance, "PeerIncarnation": s.Incarnation, "Zone": s.Zone, "Leaving": s.Leaving, "StoreUp": s.StoreUp}).Info("state received from a new, returned or leaving instance")
-		c.refresh(now)
+		c.refreshDue = true // Many instances may start at once.
 	}
 	for _, crash := range s.Crashes {
 		c.crashes.RecordCrash(now, crash)
@@ -245,8 +330,27 @@
 		c.replace(now, r.Server, r.Incarnation)
 	}
 	c.relist(s.HistoryLostBefore)
-	c.relistIfBehind(now, s)
-	return true
+}
+
+// forwardWrites queues the objects and deltas of another instance's state that were new to this one for the instances to
+// which this one relays. changed has the names of the objects that were new.
+func (c *Conductor) forwardWrites(now time.Time, s gossiper.State, changed []string) {
+	if len(changed) == 0 {
+		return
+	}
+	c.mu.Lock()
+	for _, o := range s.WrittenObjects {
+		if slices.Contains(changed, o.Name) {
+			c.recentWrites = append(c.recentWrites, recentWrite{at: now, object: o})
+		}
+	}
+	for _, d := range s.AllocationDeltas {
+		if slices.Contains(changed, custodian.AllocationPrefix+string(d.Service)) {
+			c.recentWrites = append(c.recentWrites, recentWrite{at: now, delta: &d})
+		}
+	}
+	c.mu.Unlock()
+	trigger(c.sendTrigger)
 }
 
 // relist lists everything again that was read before a revision of the store, because an instance
@@ -266,10 +370,11 @@
 // relistIfBehind lists a kind again if another instance has had a newer object of it for longer
 // than a watch takes to deliver it. The caller holds the lock.
 func (c *Conductor) relistIfBehind(now time.Time, s gossiper.State) {
+	eventDelay := watchDelay * time.Duration(c.ownership.Gossip.IntervalFactor(now))
 	for kind, lag := range c.lagDetectors {
 		timeout := watchLag
 		if kind != c.kinds.Config {
-			timeout += watchDelay * time.Duration(c.ownership.Gossip.IntervalFactor(now))
+			timeout += eventDelay
 		}
 		m := c.mirrors[kind]
 		if lag.Observe(now, s.NewestVersions[kind], m.Revision(), timeout) {
@@ -289,9 +394,10 @@
 	SharedVersions map[string]identifier.Version `cbor:"Own"`
 }
 
-// copyAnswer carries the requested copies.
+// copyAnswer carries the requested copies, and the roster confirmations of an instance that can reach the store.
 type copyAnswer struct {
-	Copies []mirrorer.Copy
+	Copies        []mirrorer.Copy
+	Confirmations []gossiper.Confirmation
 }
 
 // HandleRequest implements transporter.Handler: it answers another instance's request for copies of
@@ -312,6 +418,9 @@
 			answer.Copies = append(answer.Copies, copied)
 		}
 	}
+	c.mu.Lock()
+	answer.Confirmations = c.ownership.Confirmations(c.clock())
+	c.mu.Unlock()
 	reply, err := cbor.Marshal(answer)
 	if err != nil {
 		c.log.WithField("Error", err).Error("copies do not encode, the request gets an empty answer")
@@ -372,6 +481,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	askedAt := c.clock()
 	reply, err := c.transport.Call(ctx, address, transporter.KindCopy, data)
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"Address": address, "Error": err}).Debug("another instance did not answer the request for copies")
@@ -382,6 +492,9 @@
 		c.log.WithFields(logrus.Fields{"Address": address, "Error": err}).Warning("copies of another instance do not decode, they are dropped")
 		return
 	}
+	c.mu.Lock()
+	c.ownership.ApplyConfirmations(askedAt, answer.Confirmations)
+	c.mu.Unlock()
 	for _, copied := range answer.Copies {
 		m, ok := c.mirrors[copied.Kind]
 		if !ok {
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -171,6 +171,9 @@
 		for _, until := range c.view.removed {
 			expired = expired || !now.Before(until)
 		}
+		if c.refreshDue {
+			c.refresh(now)
+		}
 		if c.scheduler.WaitingCount() > 0 {
 			c.scheduler.Tick(now)
 		}
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -48,7 +48,9 @@
 	switch {
 	case err == nil:
 		o := storer.Object{Name: name, Version: v, Data: data}
-		c.announceWrite(o)
+		if !strings.HasPrefix(name, memberPrefix) { // Instances learn of each other from states.
+			c.announceWrite(o)
+		}
 		c.mirrors[c.kinds.Shared].Merge([]storer.Object{o})
 		trigger(c.sendTrigger)
 		return true
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -34,10 +34,17 @@
 	newServerSeenAt     time.Time                                          // When a new backend server was last seen.
 	keyRates            map[identifier.Service]*allocator.KeyRates
 	badEntries          map[string]identifier.Version // Versions that were logged as not decodable.
+	members             map[string]seenMember         // By name of the member object.
 	storeDownAt         time.Time                     // Start of the present outage; zero while the store answers.
 	storeUpAt           time.Time                     // End of the last outage.
 }
 
+// seenMember is what a version of a member object says.
+type seenMember struct {
+	version identifier.Version
+	address string
+}
+
 // seenEntry records when an entry was seen to become cold or to leave.
 type seenEntry struct {
 	version      identifier.Version
@@ -131,6 +138,11 @@
 func (c *Conductor) readServers(now time.Time, objects []storer.Object) {
 	entries := make(map[identifier.BackendServer]registrar.Entry, len(objects))
 	for _, o := range objects {
+		if known, ok := c.view.entries[identifier.BackendServer(o.Name)]; ok && known.Version == o.Version {
+			entries[known.ID] = known // Most entries are unchanged, and decoding is the greater part of the work.
+			delete(c.view.removed, known.ID)
+			continue
+		}
 		e, err := c.codec.DecodeEntry(o)
 		if err != nil {
 			if c.view.badEntries[o.Name] != o.Version {
@@ -221,16 +233,23 @@
 func (c *Conductor) readShared(now time.Time, objects []storer.Object, requestedAt time.Time) {
 	c.ownership.ApplyObjects(now, objects, requestedAt)
 	var members []string
+	known := c.view.members
+	c.view.members = make(map[string]seenMember, len(known))
 	for _, o := range objects {
 		if !strings.HasPrefix(o.Name, memberPrefix) {
 			continue
 		}
-		m, err := decodeMember(o.Data)
-		if err != nil {
-			c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("member object does not decode, its address is not used")
-			continue
+		m, ok := known[o.Name]
+		if !ok || m.version != o.Version {
+			decoded, err := decodeMember(o.Data)
+			if err != nil {
+				c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("member object does not decode, its address is not used")
+				continue
+			}
+			m = seenMember{o.Version, decoded.Address}
 		}
-		members = append(members, m.Address)
+		c.view.members[o.Name] = m
+		members = append(members, m.address)
 	}
 	sort.Strings(members)
 	c.ownership.Gossip.ReplaceHints(append(members, c.settings.Seeds...))
@@ -310,6 +329,7 @@
 // refresh passes the view on to the custodian and the scheduler, and opens and closes connection
 // pools to match it. The caller holds the lock.
 func (c *Conductor) refresh(now time.Time) {
+	c.refreshDue = false
 	count := c.ownership.Gossip.Count(now)
 	c.scheduler.SetInstanceCount(count)
 	c.ownership.SetEnvironment(c.environment())
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -78,7 +78,9 @@
 
 	allocations map[identifier.Service]*allocator.Allocation
 	rosters     map[identifier.Cell]leaser.Roster
-	segments    map[segmentKey]*segmentState
+	// rosterVersions is, by name of the object, the version of the roster that was applied last.
+	rosterVersions map[string]identifier.Version
+	segments       map[segmentKey]*segmentState
 	// requestedAt is when the newest complete list of shared objects was requested.
 	requestedAt time.Time
 	// relayedAt is, by cell, the latest time up to which another instance has confirmed the roster
@@ -126,7 +128,7 @@
 		settings: s, logEvent: logEvent, startedAt: now,
 		Gossip: gossiper.New(gossiper.State{Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.Address, Capacity: s.Capacity}),
 		Leases: leaser.New(s.Leases), allocations: map[identifier.Service]*allocator.Allocation{},
-		rosters: map[identifier.Cell]leaser.Roster{}, segments: map[segmentKey]*segmentState{},
+		rosters: map[identifier.Cell]leaser.Roster{}, rosterVersions: map[string]identifier.Version{}, segments: map[segmentKey]*segmentState{},
 		relayedAt: map[identifier.Cell]time.Time{}, allocationsRead: map[identifier.Cell]bool{}, fencedAt: map[fenceKey]time.Time{},
 	}
 }
@@ -168,6 +170,9 @@
 
 // applyRoster replaces the roster of a cell with a newer one.
 func (c *Custodian) applyRoster(now time.Time, o storer.Object) {
+	if o.Version <= c.rosterVersions[o.Name] {
+		return
+	}
 	r, err := leaser.DecodeRoster(o.Data, o.Version)
 	if err != nil {
 		c.logEvent("roster ignored: it does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
@@ -177,6 +182,7 @@
 		return
 	}
 	c.rosters[r.Cell] = r
+	c.rosterVersions[o.Name] = o.Version
 	for _, h := range r.Holders {
 		if h.Fenced() {
 			c.recordFence(fenceKey{r.Cell, h}, now)
@@ -222,8 +228,12 @@
 func (c *Custodian) DueOrders(now time.Time) []leaser.Order {
 	onRoster, mayGrant := map[identifier.Cell]bool{}, map[identifier.Cell]bool{}
 	for cell := range c.rosters {
-		onRoster[cell] = c.OnRoster(cell)
-		mayGrant[cell] = onRoster[cell] && c.MayGrant(now, cell)
+		if c.OnRoster(cell) {
+			onRoster[cell], mayGrant[cell] = true, c.MayGrant(now, cell)
+		}
+	}
+	if len(onRoster) == 0 && c.Leases.Empty() {
+		return nil
 	}
 	var orders []leaser.Order
 	for _, service := range c.services() {
@@ -312,20 +322,29 @@
 		return false
 	}
 	c.applyFences(now, s.Fences)
-	c.applyConfirmations(c.Gossip.Peer(s.Instance))
+	if p := c.Gossip.Peer(s.Instance); !p.ComposedAfter.IsZero() {
+		c.ApplyConfirmations(p.ComposedAfter, p.Confirmations)
+	}
 	return true
 }
 
-// applyConfirmations uses the roster confirmations of an instance that can reach the store as if they
-// were this instance's own: they are as good as a list that this instance requested at the earliest
-// time at which the state can have been made, less the age of the confirmation.
-func (c *Custodian) applyConfirmations(p *gossiper.Peer) {
-	if p.ComposedAfter.IsZero() {
-		return
+// HandleProfile handles the relayed profile of another instance. It returns the state that the profile stands for; ok is
+// false if it is not newer than what is known.
+func (c *Custodian) HandleProfile(now time.Time, f gossiper.Profile) (s gossiper.State, ok bool) {
+	s, ok = c.Gossip.RecordProfile(now, f)
+	if ok {
+		c.applyFences(now, f.Fences)
 	}
-	for _, confirmed := range p.Confirmations {
+	return s, ok
+}
+
+// ApplyConfirmations uses the roster confirmations of an instance that can reach the store, which were composed after a
+// time, as if they were this instance's own: they are as good as a list that this instance requested at that time, less
+// the age of the confirmation.
+func (c *Custodian) ApplyConfirmations(composedAfter time.Time, confirmations []gossiper.Confirmation) {
+	for _, confirmed := range confirmations {
 		if r, ok := c.rosters[confirmed.Cell]; ok && r.Version == confirmed.Version {
-			requestedAt := p.ComposedAfter.Add(-time.Duration(confirmed.AgeMs) * time.Millisecond)
+			requestedAt := composedAfter.Add(-time.Duration(confirmed.AgeMs) * time.Millisecond)
 			if requestedAt.After(c.relayedAt[confirmed.Cell]) {
 				c.relayedAt[confirmed.Cell] = requestedAt
 			}
--- a/custodian/planning.go
+++ b/custodian/planning.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		p := c.Gossip.Peer(h.Instance)
-		if p == nil || now.Sub(p.HeardAt) >= gossiper.UnresponsiveAfter {
+		if p == nil || now.Sub(p.HeardAt) >= c.Gossip.UnresponsiveAfter() {
 			return false
 		}
 		if p.Incarnation != h.Incarnation {
@@ -169,5 +169,5 @@
 		return true
 	}
 	p := c.Gossip.Peer(process.Instance)
-	return p != nil && p.Incarnation == process.Incarnation && now.Sub(p.HeardAt) < gossiper.UnresponsiveAfter
+	return p != nil && p.Incarnation == process.Incarnation && now.Sub(p.HeardAt) < c.Gossip.UnresponsiveAfter()
 }
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/ranker"
@@ -14,8 +13,8 @@
 const (
 	// DiscoveryTime is the time after its start that an instance takes to hear from the others.
 	DiscoveryTime = time.Second
-	// unresponsiveTime is the time without a message after which a holder is fenced.
-	unresponsiveTime = 900 * time.Millisecond
+	// fenceDelay is the time after which an unresponsive holder is fenced.
+	fenceDelay = 100 * time.Millisecond
 	// fenceMargin is added to the time after which a fenced process is known to grant no more, because
 	// clocks differ in rate.
 	fenceMargin = time.Second
@@ -39,7 +38,12 @@
 // Granter returns the instance that should grant in a cell: one in the zone of the cell if there is
 // one, otherwise one in another zone.
 func (c *Custodian) Granter(now time.Time, cell identifier.Cell) identifier.Instance {
-	matching, others := c.candidates(now, func(z identifier.Zone) bool { return z == cell.Zone })
+	return granterOf(cell, c.candidates(now))
+}
+
+// granterOf returns the one of the candidates that should grant in a cell.
+func granterOf(cell identifier.Cell, all []candidate) identifier.Instance {
+	matching, others := split(all, func(z identifier.Zone) bool { return z == cell.Zone })
 	if len(matching) == 0 {
 		matching = others
 	}
@@ -52,56 +56,66 @@
 
 // Planner returns the instance that should plan: one of those with the greater capacities.
 func (c *Custodian) Planner(now time.Time) identifier.Instance {
-	all, _ := c.candidates(now, func(identifier.Zone) bool { return true })
+	all, _ := split(c.candidates(now), func(identifier.Zone) bool { return true })
 	maxCapacity := 0.0
 	for _, s := range all {
-		maxCapacity = max(maxCapacity, s.Capacity)
+		maxCapacity = max(maxCapacity, s.capacity)
 	}
-	return topRanked("planner", slices.DeleteFunc(all, func(s gossiper.State) bool { return s.Capacity < plannerCapacityShare*maxCapacity }))
+	return topRanked("planner", slices.DeleteFunc(all, func(s candidate) bool { return s.capacity < plannerCapacityShare*maxCapacity }))
 }
 
 // topRanked returns the instance that ranks first for a task, or the empty name if there are no
 // instances.
-func topRanked(task string, states []gossiper.State) identifier.Instance {
-	names := make([]identifier.Instance, 0, len(states))
-	for _, s := range states {
-		names = append(names, s.Instance)
+func topRanked(task string, candidates []candidate) identifier.Instance {
+	names := make([]identifier.Instance, 0, len(candidates))
+	for _, s := range candidates {
+		names = append(names, s.instance)
 	}
 	first, _ := ranker.Top(task, names)
 	return first
 }
 
-// candidates returns the live instances for a task that needs the store, without those that are
-// shutting down: those whose zone matches, and the others. Instances that cannot reach the store are
-// added only if no instance in a matching zone can.
-func (c *Custodian) candidates(now time.Time, matches func(identifier.Zone) bool) (matching, others []gossiper.State) {
-	states := []gossiper.State{{
-		Instance: c.settings.Instance, Zone: c.settings.Zone, Capacity: c.settings.Capacity, Leaving: c.environment.Leaving, StoreUp: c.StoreUp(),
-	}}
-	for _, p := range c.Gossip.Live(now) {
-		states = append(states, p.State)
-	}
-	add := func(s gossiper.State) {
-		switch {
-		case s.Leaving:
-		case matches(s.Zone):
-			matching = append(matching, s)
-		default:
-			others = append(others, s)
-		}
+// candidate is a live instance that is not shutting down, as far as the choice for a task depends on it.
+type candidate struct {
+	instance identifier.Instance
+	zone     identifier.Zone
+	capacity float64
+	storeUp  bool
+}
+
+// candidates returns the live instances without those that are shutting down.
+func (c *Custodian) candidates(now time.Time) []candidate {
+	live := c.Gossip.Live(now)
+	all := make([]candidate, 0, len(live)+1)
+	if !c.environment.Leaving {
+		all = append(all, candidate{c.settings.Instance, c.settings.Zone, c.settings.Capacity, c.StoreUp()})
 	}
-	for _, s := range states {
-		if s.StoreUp {
-			add(s)
+	for _, p := range live {
+		if !p.Leaving {
+			all = append(all, candidate{p.Instance, p.Zone, p.Capacity, p.StoreUp})
 		}
 	}
-	if len(matching) == 0 {
-		for _, s := range states {
-			if !s.StoreUp {
-				add(s)
+	return all
+}
+
+// split returns the candidates for a task that needs the store: those whose zone matches, and the others. Instances that
+// cannot reach the store are added only if no instance in a matching zone can.
+func split(all []candidate, matches func(identifier.Zone) bool) (matching, others []candidate) {
+	add := func(storeUp bool) {
+		for _, s := range all {
+			switch {
+			case s.storeUp != storeUp:
+			case matches(s.zone):
+				matching = append(matching, s)
+			default:
+				others = append(others, s)
 			}
 		}
 	}
+	add(true)
+	if len(matching) == 0 {
+		add(false)
+	}
 	return matching, others
 }
 
@@ -131,8 +145,9 @@
 		}
 	}
 	var changes []leaser.Roster
+	all := c.candidates(now)
 	for cell := range cells {
-		if r, ok := c.rosterChange(now, cell); ok {
+		if r, ok := c.rosterChange(now, cell, granterOf(cell, all)); ok {
 			changes = append(changes, r)
 		}
 	}
@@ -140,13 +155,13 @@
 	return changes
 }
 
-// rosterChange returns the next roster of a cell, with the version that it replaces; the second result
-// is false if this process should not change the roster.
-func (c *Custodian) rosterChange(now time.Time, cell identifier.Cell) (leaser.Roster, bool) {
+// rosterChange returns the next roster of a cell in which granter should grant, with the version that it replaces; the
+// second result is false if this process should not change the roster.
+func (c *Custodian) rosterChange(now time.Time, cell identifier.Cell, granter identifier.Instance) (leaser.Roster, bool) {
 	r := c.rosters[cell]
 	r.Cell = cell
 	ownHolder, onRoster := c.ownHolder(cell)
-	isGranter := c.Granter(now, cell) == c.settings.Instance
+	isGranter := granter == c.settings.Instance
 	unresponsive := func(h leaser.Holder) bool { return c.unresponsive(now, h) }
 	switch {
 	case isGranter && (!onRoster || ownHolder.Fenced() || slices.ContainsFunc(r.Holders, unresponsive)):
@@ -164,7 +179,7 @@
 // from for a while.
 func (c *Custodian) unresponsive(now time.Time, h leaser.Holder) bool {
 	p := c.Gossip.Peer(h.Instance)
-	return h.Instance != c.settings.Instance && !h.Fenced() && (p == nil || now.Sub(p.HeardAt) >= unresponsiveTime)
+	return h.Instance != c.settings.Instance && !h.Fenced() && (p == nil || now.Sub(p.HeardAt) >= c.Gossip.UnresponsiveAfter()+fenceDelay)
 }
 
 // grantsLapsed reports whether nothing that a holder granted can be in force, because its process
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -6,10 +6,15 @@
 // receiver derives from the echo a lower bound for the time at which the state was composed, without
 // comparing clocks (Peer.ComposedAfter).
 //
+// In a large installation, states do not go from each instance to each other: relays in each zone pass on a part of them,
+// the profiles, and beats that show which instances are alive (relay.go), and the sums of their requests (load.go).
+//
 // Nothing in this package does I/O or reads a clock. Start with State and Gossiper in gossiper.go.
 package gossiper
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -94,6 +99,7 @@
 	SendInterval = 200 * time.Millisecond
 	// UnresponsiveAfter is the time without a state after which an instance counts as unresponsive: four
 	// states.
+	// Where states are relayed, relayedUnresponsiveAfter takes its place.
 	UnresponsiveAfter = 800 * time.Millisecond
 	// expireAfter is the time after which no more states are sent to an unresponsive instance,
 	// unless the platform lists it. It is longer than any network partition after which the
@@ -106,7 +112,7 @@
 // Peer is what is known of another instance.
 type Peer struct {
 	State
-	HeardAt time.Time // When its newest state was received.
+	HeardAt time.Time // When its newest state was received, or the newest beat that was relayed.
 	// HeardSince is the start of the present period without a gap of UnresponsiveAfter between states.
 	HeardSince   time.Time
 	FirstHeardAt time.Time // When the first state of this incarnation was received.
@@ -114,6 +120,15 @@
 	// is zero as long as the peer has echoed no state of this process.
 	ComposedAfter time.Time
 	droppedAt     time.Time // When its connection was last dropped for being unresponsive.
+
+	ref               uint32
+	relayWeight       uint64
+	heardNumber       uint64    // Number of the newest state that was received or of which a beat was relayed.
+	profileNumber     uint64    // Number of the state that the relayed part of State comes from.
+	changedAt         time.Time // When the relayed part of State changed.
+	receivedAt        time.Time // When the newest state came from the instance itself; zero if none did.
+	wantsIntroduction bool
+	introducedAt      time.Time
 }
 
 // Gossiper holds what one instance knows of the others. It is not safe for concurrent use.
@@ -124,12 +139,22 @@
 	sendTimes [keptSendTimes]time.Time
 	// hints are addresses at which instances may run, from the platform's list and the seeds.
 	hints map[string]bool
+
+	names       []identifier.Instance // Names of peers, sorted.
+	relayWeight uint64
+	refs        map[uint32]*Peer
+	loads       map[identifier.Zone]receivedLoad
+	sent        State // The state that was composed last.
+	relayed     bool  // Whether states are relayed, since there are many instances.
+	forwards    bool  // Whether this instance relays.
 }
 
 // New returns a Gossiper for the process that self describes, by its instance, incarnation, zone,
 // address and capacity.
 func New(self State) *Gossiper {
-	return &Gossiper{self: self, peers: map[identifier.Instance]*Peer{}, hints: map[string]bool{}}
+	return &Gossiper{
+		self: self, peers: map[identifier.Instance]*Peer{}, hints: map[string]bool{}, relayWeight: relayWeight(self.Instance), refs: map[uint32]*Peer{}, loads: map[identifier.Zone]receivedLoad{},
+	}
 }
 
 // AddHint adds the address of a possible instance.
@@ -146,19 +171,28 @@
 	s.Instance, s.Incarnation, s.Zone, s.Address = g.self.Instance, g.self.Incarnation, g.self.Zone, g.self.Address
 	s.Capacity = g.self.Capacity
 	s.SequenceNumber = g.number
+	g.self.Leaving = s.Leaving
+	g.sent = s
 	return s
 }
 
-// Echoes returns an echo of the newest state of each live instance, in order of their names.
+// Echoes returns an echo of the newest state of each live instance that sends its states to this one, in order of their
+// names.
 func (g *Gossiper) Echoes(now time.Time) []Echo {
 	live := g.Live(now)
 	echoes := make([]Echo, 0, len(live))
 	for _, p := range live {
+		if now.Sub(p.receivedAt) >= echoTime {
+			continue
+		}
 		echoes = append(echoes, Echo{Instance: p.Instance, Incarnation: p.Incarnation, SequenceNumber: p.SequenceNumber})
 	}
 	return echoes
 }
 
+// echoTime is the time after its last own state after which an instance gets no echo.
+const echoTime = 3 * time.Second
+
 // fullStates is the number of other instances below which each state is full. With more instances,
 // full states become rarer in proportion, since the number of states grows with the square of the
 // number of instances.
@@ -180,7 +214,15 @@
 // IntervalFactor returns the factor by which regular work of each instance is stretched in a larger
 // installation: one of that many states is full, and other regular work waits that many times
 // longer.
-func (g *Gossiper) IntervalFactor(now time.Time) int { return 1 + len(g.Live(now))/fullStates }
+func (g *Gossiper) IntervalFactor(now time.Time) int {
+	live := 0
+	for _, p := range g.peers {
+		if g.isLive(now, p) {
+			live++
+		}
+	}
+	return 1 + live/fullStates
+}
 
 // IsFull reports whether the next state must be full, that is, contain the parts that others need
 // only from time to time.
@@ -192,16 +234,17 @@
 		return false
 	}
 	p, ok := g.peers[s.Instance]
-	if ok && !p.isNewer(now, s) {
+	if ok && (!p.acceptsIncarnation(now, s.Incarnation) || s.Incarnation == p.Incarnation && s.SequenceNumber <= p.SequenceNumber) {
 		return false
 	}
-	if !ok || s.Incarnation != p.Incarnation {
-		p = &Peer{FirstHeardAt: now, HeardSince: now}
-		g.peers[s.Instance] = p
-	} else if now.Sub(p.HeardAt) >= UnresponsiveAfter {
-		p.HeardSince = now
+	if ok && s.Incarnation == p.Incarnation && s.SequenceNumber < p.profileNumber { // A newer profile was relayed meanwhile.
+		s.Leaving, s.StoreUp, s.HistoryLostBefore = p.Leaving, p.StoreUp, p.HistoryLostBefore
+		s.Fences, s.ReplacedServers, s.Crashes = p.Fences, p.ReplacedServers, p.Crashes
 	}
-	p.State, p.HeardAt = s, now
+	p = g.replace(now, s)
+	p.profileNumber = max(p.profileNumber, s.SequenceNumber)
+	p.receivedAt = now
+	p.heard(now, s.SequenceNumber, g.UnresponsiveAfter())
 	for _, e := range s.Echoes {
 		if e.Instance == g.self.Instance && e.Incarnation == g.self.Incarnation && e.SequenceNumber <= g.number && g.number-e.SequenceNumber < keptSendTimes {
 			p.ComposedAfter = g.sendTimes[e.SequenceNumber%keptSendTimes]
@@ -210,18 +253,49 @@
 	return true
 }
 
-// isNewer reports whether a state is newer than the last one of its sender. Incarnations are
-// derived from the time of day, which may have been set back between two processes. A lower
-// incarnation therefore counts as newer once the present one is unresponsive.
-func (p *Peer) isNewer(now time.Time, s State) bool {
-	switch {
-	case s.Incarnation == p.Incarnation:
-		return s.SequenceNumber > p.SequenceNumber
-	case s.Incarnation < p.Incarnation:
-		return now.Sub(p.HeardAt) >= UnresponsiveAfter
-	default:
-		return true
+// replace makes s the state of its sender and returns the sender, which is new if the incarnation is.
+func (g *Gossiper) replace(now time.Time, s State) *Peer {
+	p, ok := g.peers[s.Instance]
+	if !ok || s.Incarnation != p.Incarnation {
+		if ok {
+			delete(g.refs, p.ref)
+		}
+		p = &Peer{FirstHeardAt: now, HeardSince: now, HeardAt: now, ref: ref(s.Instance, s.Incarnation), relayWeight: relayWeight(s.Instance), changedAt: now}
+		g.peers[s.Instance] = p
+		g.refs[p.ref] = p
+		g.sortNames()
+	} else if !sameProfile(&p.State, &s) {
+		p.changedAt = now
 	}
+	p.State = s
+	return p
+}
+
+// sortNames renews the names of the known instances.
+func (g *Gossiper) sortNames() {
+	g.names = slices.Sorted(maps.Keys(g.peers))
+}
+
+// zoneNames returns the zones whose loads are known, sorted.
+func (g *Gossiper) zoneNames() []identifier.Zone { return slices.Sorted(maps.Keys(g.loads)) }
+
+// acceptsIncarnation reports whether a state of an incarnation can be newer than the last one. Incarnations are derived
+// from the time of day, which may have been set back between two processes. A lower incarnation is therefore accepted
+// once the present one is unresponsive.
+func (p *Peer) acceptsIncarnation(now time.Time, i identifier.Incarnation) bool {
+	return i >= p.Incarnation || now.Sub(p.HeardAt) >= UnresponsiveAfter
+}
+
+// RequestIntroduction records that an instance has requested an introduction.
+func (g *Gossiper) RequestIntroduction(i identifier.Instance) {
+	if p, ok := g.peers[i]; ok {
+		p.wantsIntroduction = true
+	}
+}
+
+// isLive reports whether an instance is responsive.
+func (g *Gossiper) isLive(now time.Time, p *Peer) bool {
+	return now.Sub(p.HeardAt) < g.UnresponsiveAfter()
 }
 
 // Peer returns what is known of an instance, or nil.
@@ -230,27 +304,34 @@
 // Live returns the instances whose last state is younger than UnresponsiveAfter, in order of their names.
 func (g *Gossiper) Live(now time.Time) []*Peer {
 	var live []*Peer
-	for _, p := range g.peers {
-		if now.Sub(p.HeardAt) < UnresponsiveAfter {
+	for _, name := range g.names {
+		if p := g.peers[name]; g.isLive(now, p) {
 			live = append(live, p)
 		}
 	}
-	sort.Slice(live, func(a, b int) bool { return live[a].Instance < live[b].Instance })
 	return live
 }
 
-// Targets returns the addresses to send a state to, in order. It drops instances that have expired.
+// expire drops instances that have been unresponsive for long.
+func (g *Gossiper) expire(now time.Time) {
+	for i, p := range g.peers {
+		if now.Sub(p.HeardAt) >= expireAfter {
+			delete(g.peers, i)
+			delete(g.refs, p.ref)
+			g.sortNames()
+		}
+	}
+}
+
+// Targets returns the addresses at which instances may run, in order. It drops instances that have expired.
 func (g *Gossiper) Targets(now time.Time) []string {
+	g.expire(now)
 	to := map[string]bool{}
 	for a := range g.hints {
 		to[a] = true
 	}
-	for i, p := range g.peers {
-		if now.Sub(p.HeardAt) < expireAfter {
-			to[p.Address] = true
-		} else {
-			delete(g.peers, i)
-		}
+	for _, p := range g.peers {
+		to[p.Address] = true
 	}
 	delete(to, g.self.Address)
 	targets := make([]string, 0, len(to))
@@ -290,7 +371,7 @@
 func (g *Gossiper) ReconnectTargets(now time.Time) []string {
 	var unresponsive []string
 	for _, p := range g.peers {
-		if now.Sub(p.HeardAt) >= UnresponsiveAfter && now.Sub(p.droppedAt) >= dropInterval {
+		if !g.isLive(now, p) && now.Sub(p.droppedAt) >= dropInterval {
 			p.droppedAt = now
 			unresponsive = append(unresponsive, p.Address)
 		}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -167,6 +167,9 @@
 // New returns a Leaser that has sent no orders.
 func New(s Settings) *Leaser { return &Leaser{s, map[incarnationKey]*server{}} }
 
+// Empty reports whether there are neither leases nor grants that may be in force.
+func (l *Leaser) Empty() bool { return len(l.servers) == 0 }
+
 // RecordAnswer records that an incarnation of a server answered anything at all, an order or a request.
 func (l *Leaser) RecordAnswer(now time.Time, id identifier.BackendServer, incarnation registrar.Incarnation) {
 	if s, ok := l.servers[incarnationKey{id, incarnation}]; ok {
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -183,20 +183,21 @@
 	return true
 }
 
-// Merge applies those of another instance's objects that are newer than the copy's.
-func (m *Mirror) Merge(objects []storer.Object) {
+// Merge applies those of another instance's objects that are newer than the copy's, and returns their names.
+func (m *Mirror) Merge(objects []storer.Object) []string {
 	m.mu.Lock()
-	changed := false
+	var changed []string
 	for _, o := range objects {
 		if o.Version > m.objects[o.Name].Version {
 			m.objects[o.Name] = o
-			changed = true
+			changed = append(changed, o.Name)
 		}
 	}
 	m.mu.Unlock()
-	if changed {
+	if len(changed) > 0 {
 		m.onChange(m.kind)
 	}
+	return changed
 }
 
 // applyEvents applies the changes that a watch has delivered.
