--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -160,17 +160,30 @@
 	Input
 	next    *Allocation
 	changed bool
-	// load is, for each usable server, the weight of the keys that it owns and that are not moving.
-	load map[identifier.BackendServer]float64
+	// load has the usable servers by ID; usable has them in order of their IDs.
+	load   map[identifier.BackendServer]*serverLoad
+	usable []*serverLoad
 }
 
+// serverLoad is a usable server with the weight of the keys that it owns and that are not moving.
+type serverLoad struct {
+	id             identifier.BackendServer
+	load, capacity float64
+}
+
+// usage returns the load as a share of the capacity.
+func (l *serverLoad) usage() float64 { return l.load / l.capacity }
+
 func newPlan(a *Allocation, in Input) *plan {
-	p := &plan{Input: in, load: map[identifier.BackendServer]float64{}}
+	p := &plan{Input: in, load: make(map[identifier.BackendServer]*serverLoad, len(in.Servers)), usable: make([]*serverLoad, 0, len(in.Servers))}
 	for id, s := range in.Servers {
 		if s.usable() {
-			p.load[id] = 0
+			l := &serverLoad{id: id, capacity: s.Capacity}
+			p.load[id] = l
+			p.usable = append(p.usable, l)
 		}
 	}
+	sort.Slice(p.usable, func(a, b int) bool { return p.usable[a].id < p.usable[b].id })
 	if a == nil {
 		whole := Segment{Range: identifier.Range{To: identifier.MaxShardKey}}
 		p.next = &Allocation{Service: in.Service, NextEpoch: 1, Segments: split(whole, initialSegments(len(p.load)))}
@@ -180,8 +193,8 @@
 	next.Segments = append([]Segment(nil), a.Segments...)
 	p.next = &next
 	for _, s := range next.Segments {
-		if _, ok := p.load[s.Owner]; ok && !s.Moving {
-			p.load[s.Owner] += p.weight(s.Range)
+		if l, ok := p.load[s.Owner]; ok && !s.Moving {
+			l.load += p.weight(s.Range)
 		}
 	}
 	return p
@@ -306,7 +319,7 @@
 	s.Epoch = p.next.NextEpoch
 	s.Moving, s.Round, s.Fence, s.Fencer = false, 0, 0, Fencer{}
 	p.next.NextEpoch++
-	p.load[to] += p.weight(s.Range)
+	p.load[to].load += p.weight(s.Range)
 	p.changed = true
 }
 
@@ -314,10 +327,9 @@
 func (p *plan) leastLoaded(r identifier.Range) (best identifier.BackendServer) {
 	weight := p.weight(r)
 	lowest := 0.0
-	for id, load := range p.load {
-		usage := (load + weight) / p.Servers[id].Capacity
-		if best == "" || usage < lowest || usage == lowest && id < best {
-			best, lowest = id, usage
+	for _, l := range p.usable {
+		if usage := (l.load + weight) / l.capacity; best == "" || usage < lowest {
+			best, lowest = l.id, usage
 		}
 	}
 	return best
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -1,6 +1,8 @@
 package allocator
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/turmericlift/turmericlift/identifier"
@@ -36,8 +38,8 @@
 		owners[s.Owner] = true
 	}
 	empty := 0
-	for id := range p.load {
-		if !owners[id] && !p.Servers[id].Cold {
+	for _, l := range p.usable {
+		if !owners[l.id] && !p.Servers[l.id].Cold {
 			empty++
 		}
 	}
@@ -62,7 +64,7 @@
 	}
 	r := p.next.Segments[best].Range
 	cut := p.cut(r, p.weight(r)/2)
-	p.load[from] -= p.weight(cut)
+	p.load[from].load -= p.weight(cut)
 	p.splitMoving(best, cut)
 	p.changed = true
 	return true
@@ -122,13 +124,13 @@
 			best, busiestKey = n, single
 		}
 	}
-	if best < 0 || p.weight(busiestKey) < p.load[from]/2 {
+	if best < 0 || p.weight(busiestKey) < p.load[from].load/2 {
 		return false
 	}
-	capacity := p.Servers[from].Capacity
-	for id, load := range p.load {
-		if c := p.Servers[id].Capacity; c > minSpeedRatio*capacity && load < c/2 {
-			p.load[from] -= p.weight(busiestKey)
+	capacity := p.load[from].capacity
+	for _, l := range p.usable {
+		if l.capacity > minSpeedRatio*capacity && l.load < l.capacity/2 {
+			p.load[from].load -= p.weight(busiestKey)
 			p.splitMoving(best, busiestKey)
 			p.changed = true
 			return true
@@ -149,12 +151,12 @@
 }
 
 // usage returns the load of a server as a share of its capacity.
-func (p *plan) usage(s identifier.BackendServer) float64 { return p.load[s] / p.Servers[s].Capacity }
+func (p *plan) usage(s identifier.BackendServer) float64 { return p.load[s].usage() }
 
 // deviation returns the standard deviation of a server's usage as estimated from its decayed
 // count of requests, if requests arrive independently and the true usage is the given one.
 func (p *plan) deviation(id identifier.BackendServer, usage float64) float64 {
-	return deviation(usage*p.Servers[id].Capacity) / p.Servers[id].Capacity
+	return deviation(usage*p.load[id].capacity) / p.load[id].capacity
 }
 
 // mostUsed returns the server with the highest usage.
@@ -167,24 +169,26 @@
 // of them together.
 func (p *plan) byUsage() (servers []identifier.BackendServer, mean float64) {
 	load, capacity := 0.0, 0.0
-	for id := range p.load {
-		servers = append(servers, id)
-		load += p.load[id]
-		capacity += p.Servers[id].Capacity
-	}
-	sort.Slice(servers, func(a, b int) bool {
-		ua, ub := p.usage(servers[a]), p.usage(servers[b])
-		return ua < ub || ua == ub && servers[a] < servers[b]
-	})
+	sorted := slices.Clone(p.usable) // In order of IDs, which decides between equal usages.
+	for _, l := range sorted {
+		load += l.load
+		capacity += l.capacity
+	}
+	slices.SortStableFunc(sorted, func(a, b *serverLoad) int { return cmp.Compare(a.usage(), b.usage()) })
+	servers = make([]identifier.BackendServer, 0, len(sorted))
+	for _, l := range sorted {
+		servers = append(servers, l.id)
+	}
 	return servers, load / max(capacity, 1e-9)
 }
 
 // prepareTransfer prepares the move of keys of one server whose load brings both servers towards the
 // mean, and reports whether it did.
 func (p *plan) prepareTransfer(from, to identifier.BackendServer, mean float64) bool {
-	spare := max(mean, p.usage(from)/2)*p.Servers[to].Capacity - p.load[to]
-	excess := p.load[from] - mean*p.Servers[from].Capacity
-	amount := min(spare, max(excess, p.load[from]/4))
+	giver, taker := p.load[from], p.load[to]
+	spare := max(mean, giver.usage()/2)*taker.capacity - taker.load
+	excess := giver.load - mean*giver.capacity
+	amount := min(spare, max(excess, giver.load/4))
 	if amount <= 0 {
 		return false
 	}
@@ -192,8 +196,8 @@
 	if best < 0 {
 		return false
 	}
-	p.load[from] -= p.weight(cut)
-	p.load[to] += p.weight(cut)
+	giver.load -= p.weight(cut)
+	taker.load += p.weight(cut)
 	p.splitMoving(best, cut)
 	p.changed = true
 	return true
--- a/allocator/heat.go
+++ b/allocator/heat.go
@@ -129,7 +129,8 @@
 // NewKeyRates returns the sum of sketches. A sketch with unequal numbers of ends and rates is skipped; one
 // whose ends are not in order counts up to the first that is not.
 func NewKeyRates(sketches []Sketch) *KeyRates {
-	rates := make([]float64, identifier.ShardKeyCount)
+	// changes[n] is the rate of key n less that of the key before it.
+	changes := make([]float64, identifier.ShardKeyCount+1)
 	for _, s := range sketches {
 		if len(s.Ends) != len(s.Rates) {
 			continue
@@ -140,15 +141,16 @@
 				break
 			}
 			perKey := float64(s.Rates[n]) / float64(int(end)-from+1)
-			for key := from; key <= int(end); key++ {
-				rates[key] += perKey
-			}
+			changes[from] += perKey
+			changes[int(end)+1] -= perKey
 			from = int(end) + 1
 		}
 	}
 	k := &KeyRates{prefixSums: make([]float64, identifier.ShardKeyCount+1)}
-	for n, r := range rates {
-		k.prefixSums[n+1] = k.prefixSums[n] + r
+	rate := 0.0
+	for n := range identifier.ShardKeyCount {
+		rate = max(rate+changes[n], 0) // Rounding errors must not make a rate negative.
+		k.prefixSums[n+1] = k.prefixSums[n] + rate
 	}
 	return k
 }
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -264,17 +264,19 @@
 	}
 	c.ownership.Gossip.RecordBeats(now, m.Beats)
 	c.ownership.Gossip.RecordLoads(now, m.Loads)
-	objects := slices.Clone(s.WrittenObjects)
+	var changed []identifier.Service
 	if isNew {
-		objects = append(objects, c.ownership.ExpandDeltas(s.AllocationDeltas)...)
+		changed = c.ownership.ApplyDeltas(now, s.AllocationDeltas)
+		c.allocationsChanged(now, changed)
 	}
 	forwards := isNew && c.ownership.Gossip.Forwards()
 	c.mu.Unlock()
-	if len(objects) > 0 {
-		changed := c.mirrors[c.kinds.Shared].Merge(objects)
-		if forwards {
-			c.forwardWrites(now, s, changed)
-		}
+	var written []string
+	if len(s.WrittenObjects) > 0 {
+		written = c.mirrors[c.kinds.Shared].Merge(s.WrittenObjects)
+	}
+	if forwards {
+		c.forwardWrites(now, s, written, changed)
 	}
 	if isNew && len(s.Releases) > 0 {
 		trigger(c.planTrigger)
@@ -332,20 +334,30 @@
 	c.relist(s.HistoryLostBefore)
 }
 
+// allocationsChanged acts on allocations of services that have changed. The caller holds the lock.
+func (c *Conductor) allocationsChanged(now time.Time, services []identifier.Service) {
+	if len(services) == 0 {
+		return
+	}
+	c.scheduler.Tick(now)
+	trigger(c.planTrigger)
+	trigger(c.grantTrigger)
+}
+
 // forwardWrites queues the objects and deltas of another instance's state that were new to this one for the instances to
-// which this one relays. changed has the names of the objects that were new.
-func (c *Conductor) forwardWrites(now time.Time, s gossiper.State, changed []string) {
-	if len(changed) == 0 {
+// which this one relays: the objects that were written, by name, and the allocations that changed.
+func (c *Conductor) forwardWrites(now time.Time, s gossiper.State, written []string, changed []identifier.Service) {
+	if len(written)+len(changed) == 0 {
 		return
 	}
 	c.mu.Lock()
 	for _, o := range s.WrittenObjects {
-		if slices.Contains(changed, o.Name) {
+		if slices.Contains(written, o.Name) {
 			c.recentWrites = append(c.recentWrites, recentWrite{at: now, object: o})
 		}
 	}
 	for _, d := range s.AllocationDeltas {
-		if slices.Contains(changed, custodian.AllocationPrefix+string(d.Service)) {
+		if slices.Contains(changed, d.Service) {
 			c.recentWrites = append(c.recentWrites, recentWrite{at: now, delta: &d})
 		}
 	}
@@ -412,6 +424,7 @@
 	for kind, m := range c.mirrors {
 		copied, _ := m.Snapshot()
 		if kind == c.kinds.Shared {
+			copied.Objects = c.withNewestAllocations(copied.Objects)
 			copied.Objects = slices.DeleteFunc(copied.Objects, func(o storer.Object) bool { return o.Version <= req.SharedVersions[o.Name] })
 		}
 		if kind == c.kinds.Shared && len(copied.Objects) > 0 || kind != c.kinds.Shared && copied.NewestVersion() > req.Revisions[kind] {
@@ -429,6 +442,33 @@
 	return reply
 }
 
+// withNewestAllocations returns shared objects in which allocations that are known in a newer version, by deltas, replace
+// those of the store's last list.
+func (c *Conductor) withNewestAllocations(objects []storer.Object) []storer.Object {
+	c.mu.Lock()
+	allocations := slices.Collect(maps.Values(c.ownership.Allocations()))
+	c.mu.Unlock()
+	for _, a := range allocations {
+		name := custodian.AllocationPrefix + string(a.Service)
+		n := slices.IndexFunc(objects, func(o storer.Object) bool { return o.Name == name })
+		if n >= 0 && objects[n].Version >= a.Version {
+			continue
+		}
+		data, err := a.Encode()
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"Service": a.Service, "Error": err}).Error("allocation does not encode, the copies have an older one")
+			continue
+		}
+		o := storer.Object{Name: name, Version: a.Version, Data: data}
+		if n >= 0 {
+			objects[n] = o
+		} else {
+			objects = append(objects, o)
+		}
+	}
+	return objects
+}
+
 // copyLoop lists the shared objects when another instance has newer ones, and fetches copies from
 // other instances while the platform does not answer this one.
 func (c *Conductor) copyLoop(ctx context.Context) {
@@ -473,6 +513,11 @@
 		for _, o := range copied.Objects {
 			req.SharedVersions[o.Name] = o.Version
 		}
+		c.mu.Lock()
+		for service, version := range c.ownership.Versions() {
+			req.SharedVersions[custodian.AllocationPrefix+string(service)] = version
+		}
+		c.mu.Unlock()
 	}
 	data, err := cbor.Marshal(req)
 	if err != nil {
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -15,6 +15,9 @@
 const (
 	// planInterval is the time between two plans.
 	planInterval = 100 * time.Millisecond
+	// rosterInterval is the shortest time between two checks of the rosters, which takes a part of a millisecond for some
+	// dozens of cells: plans are triggered more often than rosters have to change.
+	rosterInterval = 80 * time.Millisecond
 	// balanceInterval is the time between two plans that may move keys for balance. The effect of a
 	// plan must show in the request rates before the next one.
 	balanceInterval = 300 * time.Millisecond
@@ -32,7 +35,7 @@
 
 // planLoop registers this instance, updates the rosters, and plans if this instance is the planner.
 func (c *Conductor) planLoop(ctx context.Context) {
-	var balancedAt time.Time
+	var balancedAt, rostersAt time.Time
 	runEvery(ctx, planInterval, c.planTrigger, func() {
 		now := c.clock()
 		c.mu.Lock()
@@ -52,7 +55,10 @@
 		if !settled {
 			return
 		}
-		c.updateRosters(ctx)
+		if now.Sub(rostersAt) >= rosterInterval {
+			rostersAt = now
+			c.updateRosters(ctx)
+		}
 		if !plans {
 			return
 		}
@@ -92,13 +98,8 @@
 	if stale {
 		c.listShared(ctx)
 	}
-	for service, a := range next {
-		data, err := a.Encode()
-		if err != nil {
-			c.log.WithField("Error", err).Error("allocation does not encode, it is not written")
-			continue
-		}
-		if c.write(ctx, custodian.AllocationPrefix+string(service), a.Version, data) {
+	for _, a := range next {
+		if c.writeAllocation(ctx, a) {
 			c.scope.Counter("AllocationWrites").Inc(1)
 		}
 	}
--- a/custodian/allocations.go
+++ b/custodian/allocations.go
@@ -40,8 +40,7 @@
 	return nil, false
 }
 
-// applyAllocation replaces the allocation of a service with a newer one and updates the states of the
-// service's segments.
+// applyAllocation decodes a stored allocation and applies it if it is newer than the known one.
 func (c *Custodian) applyAllocation(now time.Time, o storer.Object) {
 	service := identifier.Service(strings.TrimPrefix(o.Name, AllocationPrefix))
 	if old := c.allocations[service]; old != nil && old.Version >= o.Version {
@@ -52,7 +51,18 @@
 		c.logEvent("allocation ignored: it does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
 		return
 	}
+	c.SetAllocation(now, a)
+}
+
+// SetAllocation replaces the allocation of a service with a, unless the known one is as new, and updates the states of the
+// service's segments. a must not be modified any more.
+func (c *Custodian) SetAllocation(now time.Time, a *allocator.Allocation) {
+	service := a.Service
+	if old := c.allocations[service]; old != nil && old.Version >= a.Version {
+		return
+	}
 	c.allocations[service] = a
+	c.cells = nil
 	known := map[segmentKey]bool{}
 	moving := 0
 	for _, s := range a.Segments {
@@ -106,17 +116,12 @@
 	return st
 }
 
-// ExpandDeltas returns the allocations that result from applying deltas, encoded as shared objects; they are
-// not yet applied to this Custodian. A delta whose base version is not known here is logged and
-// skipped: a later full copy of the allocation replaces it.
-func (c *Custodian) ExpandDeltas(deltas []allocator.Delta) []storer.Object {
-	var objects []storer.Object
-	next := map[identifier.Service]*allocator.Allocation{}
+// ApplyDeltas applies deltas to the known allocations and returns the services whose allocations changed. A delta whose
+// base version is not known here is logged and skipped: a later full copy of the allocation replaces it.
+func (c *Custodian) ApplyDeltas(now time.Time, deltas []allocator.Delta) []identifier.Service {
+	var changed []identifier.Service
 	for _, d := range deltas {
-		base, ok := next[d.Service]
-		if !ok {
-			base = c.allocations[d.Service]
-		}
+		base := c.allocations[d.Service]
 		if base != nil && base.Version >= d.Version {
 			continue
 		}
@@ -125,13 +130,8 @@
 			c.logEvent("delta of an allocation skipped: it does not apply to the known version", map[string]any{"Service": d.Service, "Version": d.Version, "Error": err.Error()})
 			continue
 		}
-		data, err := a.Encode()
-		if err != nil {
-			c.logEvent("allocation that results from a delta skipped: it does not encode", map[string]any{"Service": d.Service, "Error": err.Error()})
-			continue
-		}
-		next[d.Service] = a
-		objects = append(objects, storer.Object{Name: AllocationPrefix + string(d.Service), Version: d.Version, Data: data})
+		c.SetAllocation(now, a)
+		changed = append(changed, d.Service)
 	}
-	return objects
+	return changed
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -91,6 +91,8 @@
 	allocationsRead map[identifier.Cell]bool
 	// cellCounts is the number of cells of each zone, for new grants.
 	cellCounts cellCounts
+	// cells is the result of allCells; nil after a change of what it depends on.
+	cells map[identifier.Cell]bool
 	// fencedAt is, by fence, the earliest known upper bound of the time at which the holder was
 	// fenced.
 	fencedAt map[fenceKey]time.Time
@@ -137,6 +139,7 @@
 func (c *Custodian) SetEnvironment(env Environment) {
 	c.environment = env
 	c.cellCounts = countCells(env, c.settings.CellSize)
+	c.cells = nil
 }
 
 // Rosters returns the newest known roster of each cell. The caller must not change the map.
@@ -182,6 +185,7 @@
 		return
 	}
 	c.rosters[r.Cell] = r
+	c.cells = nil
 	c.rosterVersions[o.Name] = o.Version
 	for _, h := range r.Holders {
 		if h.Fenced() {
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -128,31 +128,47 @@
 	if now.Sub(c.startedAt) < DiscoveryTime {
 		return nil
 	}
-	cells := map[identifier.Cell]bool{}
+	var changes []leaser.Roster
+	all := c.candidates(now)
+	byZone := map[identifier.Zone][]candidate{}
+	for _, s := range all {
+		byZone[s.zone] = append(byZone[s.zone], s)
+	}
+	for cell := range c.allCells() {
+		candidates := byZone[cell.Zone]
+		if !slices.ContainsFunc(candidates, func(s candidate) bool { return s.storeUp }) {
+			candidates = all // Those of other zones that can reach the store may go first.
+		}
+		if r, ok := c.rosterChange(now, cell, granterOf(cell, candidates)); ok {
+			changes = append(changes, r)
+		}
+	}
+	sort.Slice(changes, func(a, b int) bool { return changes[a].Cell.Compare(changes[b].Cell) < 0 })
+	return changes
+}
+
+// allCells returns the cells that have a roster, or that need one because of a backend server or a segment.
+func (c *Custodian) allCells() map[identifier.Cell]bool {
+	if c.cells != nil {
+		return c.cells
+	}
+	c.cells = map[identifier.Cell]bool{}
 	for _, e := range c.environment.Entries {
 		if c.environment.Keyed[e.Service] {
-			cells[c.cellCounts.cellOf(e)] = true
+			c.cells[c.cellCounts.cellOf(e)] = true
 		}
 	}
 	for cell := range c.rosters {
-		cells[cell] = true
+		c.cells[cell] = true
 	}
 	for _, a := range c.allocations {
 		for n := range a.Segments {
 			if a.Segments[n].Owner != "" {
-				cells[a.Segments[n].Cell] = true
+				c.cells[a.Segments[n].Cell] = true
 			}
 		}
 	}
-	var changes []leaser.Roster
-	all := c.candidates(now)
-	for cell := range cells {
-		if r, ok := c.rosterChange(now, cell, granterOf(cell, all)); ok {
-			changes = append(changes, r)
-		}
-	}
-	sort.Slice(changes, func(a, b int) bool { return changes[a].Cell.Compare(changes[b].Cell) < 0 })
-	return changes
+	return c.cells
 }
 
 // rosterChange returns the next roster of a cell in which granter should grant, with the version that it replaces; the
