scheduler, conductor, forwarder: requests that a backend server will never answer end early

Each answer of a server reports the requests that run and wait there. If that is fewer than this instance alone has sent there half a second ago or earlier, the server does not know the oldest of them: they end, an idempotent one goes on within the retry budget, another one ends with 504 at once. Where no answer tells, the health path is called, once a second at most and only for services of which a server was silent in the last minute, since probes are dear.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -145,6 +145,7 @@
 	retryBudgets map[identifier.Service]*limiter.RetryBudget
 	ownership    *custodian.Custodian
 	keyCounters  map[identifier.Service]*allocator.Counter
+	exchanges    map[scheduler.Send]context.CancelCauseFunc // Requests at backend servers.
 	crashes      *quarantiner.Quarantiner
 	crashReports []crashReport
 	recentWrites []recentWrite // Announced to the other instances for a short while.
@@ -197,7 +198,7 @@
 		mirrors: map[storer.ObjectKind]*mirrorer.Mirror{}, planTrigger: make(chan struct{}, 1),
 		grantTrigger: make(chan struct{}, 1), sendTrigger: make(chan struct{}, 1), startedAt: now,
 		splitter: director.NewSplitter(), retryBudgets: map[identifier.Service]*limiter.RetryBudget{},
-		keyCounters: map[identifier.Service]*allocator.Counter{}, crashes: quarantiner.New(),
+		keyCounters: map[identifier.Service]*allocator.Counter{}, exchanges: map[scheduler.Send]context.CancelCauseFunc{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
 		verified:  map[identifier.BackendServer]verification{},
 		sendingTo: map[string]bool{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -178,7 +178,11 @@
 		if c.scheduler.WaitingCount() > 0 {
 			c.scheduler.Tick(now)
 		}
+		probes := c.scheduler.ProbesDue(now)
 		c.mu.Unlock()
+		for _, e := range probes {
+			c.tasks.Go(func(ctx context.Context) { c.probe(ctx, e) })
+		}
 		if expired {
 			c.log.WithFields(logrus.Fields{"Kind": c.kinds.Servers}).Debug("removed entries did not come back in time, their servers are dropped")
 			c.mirrorChanged(c.kinds.Servers)
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -80,7 +80,7 @@
 	select {
 	case d := <-r.Decided:
 		if d.Reason == scheduler.NotRefused {
-			c.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled})
+			c.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
 		}
 	default:
 	}
@@ -89,16 +89,65 @@
 
 // Exchange implements forwarder.Core: it sends a request to a backend server and returns its
 // answer. The error is an *exchanger.UnsentError if the server is no longer known.
-func (c *Conductor) Exchange(ctx context.Context, e registrar.Entry, r *exchanger.Request) (exchanger.Answer, error) {
+func (c *Conductor) Exchange(ctx context.Context, e registrar.Entry, send scheduler.Send, r *exchanger.Request) (exchanger.Answer, error) {
+	// The context is cancelled here only if the server is silent: the rest of a large answer is read after the return.
+	ctx, cancel := context.WithCancelCause(ctx)
 	c.mu.Lock()
 	p := c.pools[poolKey{e.ID, e.Incarnation, e.Address}]
+	c.exchanges[send] = cancel
 	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.exchanges, send)
+		c.mu.Unlock()
+	}()
 	if p == nil {
 		return exchanger.Answer{}, &exchanger.UnsentError{Err: fmt.Errorf("backend server %s is gone", e.ID)}
 	}
 	return p.Do(ctx, r)
 }
 
+// endSilent ends the exchanges of requests that their servers will not answer. The caller holds the lock.
+func (c *Conductor) endSilent() {
+	for _, send := range c.scheduler.TakeSilent() {
+		if cancel, ok := c.exchanges[send]; ok {
+			cancel(forwarder.ErrSilent)
+		}
+	}
+}
+
+// probeTimeout bounds a call of a server's health path, which answers at once.
+const probeTimeout = 400 * time.Millisecond
+
+// probe calls the health path of a server, to learn from its load whether it knows the requests that it has not answered.
+func (c *Conductor) probe(ctx context.Context, e registrar.Entry) {
+	c.mu.Lock()
+	key, p := c.orderPool(e.ID, e.Incarnation)
+	path := ""
+	if c.view.table != nil {
+		path = c.view.table.Services[e.Service].HealthPath
+	}
+	c.mu.Unlock()
+	if p == nil || path == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: key.address, Header: http.Header{c.codec.HeaderNames.ExpectServer: {string(e.ID)}}})
+	a.Close()
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"Server": e.ID, "Error": err}).Debug("health path was not answered, requests at the server go on waiting")
+		return
+	}
+	var r scheduler.Report
+	c.codec.HeaderNames.ReadLoad(a.Header, &r)
+	c.log.WithFields(logrus.Fields{"Server": e.ID, "Status": a.Status, "HasLoad": r.HasLoad, "Running": r.Running, "Waiting": r.Waiting}).Info("backend server probed because a request there has no answer")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scheduler.RecordProbe(c.clock(), e.ID, e.Incarnation, r)
+	c.endSilent()
+}
+
 // sweepInterval is the time between two checks of all idle connections to backend servers.
 const sweepInterval = 3 * time.Second
 
@@ -120,6 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scheduler.RecordOutcome(now, e.ID, e.Incarnation, r)
+	c.endSilent()
 	if r.Outcome == scheduler.Answered || r.Outcome == scheduler.Shed {
 		c.ownership.Leases.RecordAnswer(now, e.ID, e.Incarnation)
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		stop()
 		release(false)
-		return Answer{}, &BrokenError{errors.Join(err, ctx.Err())}
+		return Answer{}, &BrokenError{errors.Join(err, context.Cause(ctx))}
 	}
 	end := func(complete bool) {
 		keep := false
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -37,8 +37,9 @@
 	Split(r *director.Route) identifier.Service
 	// Admit waits for the decision on a request. It returns false if ctx ends first.
 	Admit(ctx context.Context, r *scheduler.PendingRequest) (scheduler.Decision, bool)
-	// Exchange sends a request to a backend server and returns its answer. Its errors are those of exchanger.Pool.Do.
-	Exchange(ctx context.Context, e registrar.Entry, r *exchanger.Request) (exchanger.Answer, error)
+	// Exchange sends a request to a backend server and returns its answer; send is from the decision on the request. Its
+	// errors are those of exchanger.Pool.Do, and a *exchanger.BrokenError that wraps ErrSilent if the server will not answer.
+	Exchange(ctx context.Context, e registrar.Entry, send scheduler.Send, r *exchanger.Request) (exchanger.Answer, error)
 	// RecordOutcome records how a request ended that was assigned to a backend server.
 	RecordOutcome(e registrar.Entry, r scheduler.Report)
 	// RecordNotOwner records that a backend server does not own a key.
@@ -60,6 +61,9 @@
 	Observe(o Observation)
 }
 
+// ErrSilent says that a backend server answers other requests but does not know this one, so that no answer will come.
+var ErrSilent = errors.New("the backend server answers other requests and does not count this one")
+
 // Observation describes an answered request for the metrics. Sends is the number of attempts that a backend
 // server answered or whose connection broke.
 type Observation struct {
@@ -162,10 +166,10 @@
 			return f.refused(req, d)
 		}
 		if req.sends > 0 && !f.core.MayRetry(req.service, req.urgent()) {
-			f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled})
+			f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
 			return req.notRun(&result{code: answerer.CodeQueueFull, retryAfter: defaultRetryAfter, detail: "too many retries to the service; the request was not sent again"})
 		}
-		if res := f.attempt(ctx, caller, req, d.Server); res != nil {
+		if res := f.attempt(ctx, caller, req, d); res != nil {
 			return res
 		}
 	}
@@ -194,16 +198,17 @@
 }
 
 // attempt sends the request to one backend server. It returns nil if the request must be sent again.
-func (f *Forwarder) attempt(ctx, caller context.Context, req *activeRequest, e registrar.Entry) *result {
+func (f *Forwarder) attempt(ctx, caller context.Context, req *activeRequest, d scheduler.Decision) *result {
 	started := f.clock()
+	e := d.Server
 	req.server = e.ID
-	answer, err := f.core.Exchange(ctx, e, f.request(req, e, started))
-	report := scheduler.Report{Latency: f.clock().Sub(started)}
+	answer, err := f.core.Exchange(ctx, e, d.Send, f.request(req, e, started))
+	report := scheduler.Report{Latency: f.clock().Sub(started), Send: d.Send}
 	var unsent *exchanger.UnsentError
 	switch {
 	case err == nil:
 		req.sends++
-		f.readLoad(answer.Header, &report)
+		f.names.ReadLoad(answer.Header, &report)
 		return f.checkAnswer(req, e, answer, report)
 	case errors.As(err, &unsent):
 		report.Outcome = scheduler.Unreachable
@@ -227,6 +232,10 @@
 	req.sends++
 	report.Outcome = scheduler.Broken
 	f.core.RecordOutcome(e, report)
+	if errors.Is(err, ErrSilent) {
+		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Ms": report.Latency.Milliseconds()}).Info("backend server will not answer the request, its connection is closed")
+		return f.retryOrFail(req, e, &result{code: answerer.CodeTimedOut, status: http.StatusGatewayTimeout, detail: "the backend server does not answer the request; it may have run"})
+	}
 	f.core.RecordBrokenConnection(e, req.fingerprint)
 	f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Info("connection broke after the request was sent to the backend server")
 	return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the connection broke after the request was sent"})
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -57,7 +57,7 @@
 	return scheduler.Decision{Server: registrar.Entry{ID: id}}, true
 }
 
-func (c *core) Exchange(ctx context.Context, _ registrar.Entry, r *exchanger.Request) (exchanger.Answer, error) {
+func (c *core) Exchange(ctx context.Context, _ registrar.Entry, _ scheduler.Send, r *exchanger.Request) (exchanger.Answer, error) {
 	c.requests = append(c.requests, r)
 	step := c.steps[0]
 	c.steps = c.steps[1:]
@@ -67,6 +67,8 @@
 		return exchanger.Answer{}, &exchanger.UnsentError{Err: errors.New("refused")}
 	case "broken":
 		return exchanger.Answer{}, &exchanger.BrokenError{Err: errors.New("reset")}
+	case "unanswered":
+		return exchanger.Answer{}, &exchanger.BrokenError{Err: forwarder.ErrSilent}
 	case "silent":
 		<-ctx.Done()
 		return exchanger.Answer{}, &exchanger.BrokenError{Err: ctx.Err()}
@@ -135,6 +137,8 @@
 		"ReadUnsealed":                {"/read/a", []string{"unsealed", "ok"}, 200, 2},
 		"ReadBrokenThenNoRoom":        {"/read/a", []string{"broken"}, 502, 1},
 		"ReadBrokenThenShed":          {"/read/a", []string{"broken", "shed", "shed"}, 502, 3},
+		"ReadUnanswered":              {"/read/a", []string{"unanswered", "ok"}, 200, 2},
+		"WriteUnanswered":             {"/write/a", []string{"unanswered", "ok"}, 504, 1},
 		"ReadFailed":                  {"/read/a", []string{"failed"}, 500, 1},
 		"Write":                       {"/write/a", []string{"ok"}, 200, 1},
 		"WriteBroken":                 {"/write/a", []string{"broken", "ok"}, 502, 1},
--- a/forwarder/parse.go
+++ b/forwarder/parse.go
@@ -153,10 +153,10 @@
 	return out
 }
 
-// readLoad copies the load report of an answer into a Report: the running and waiting requests, and the slowness of the
+// ReadLoad copies the load report of an answer into a Report: the running and waiting requests, and the slowness of the
 // server's machine if it is there. A report that is missing or invalid is ignored.
-func (f *Forwarder) readLoad(h http.Header, r *scheduler.Report) {
-	fields := strings.Split(h.Get(f.names.Load), ",")
+func (n HeaderNames) ReadLoad(h http.Header, r *scheduler.Report) {
+	fields := strings.Split(h.Get(n.Load), ",")
 	if len(fields) < 3 {
 		return
 	}
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -31,7 +31,7 @@
 	return scheduler.Decision{Server: registrar.Entry{ID: "s"}}, true
 }
 
-func (c *socketCore) Exchange(ctx context.Context, _ registrar.Entry, r *exchanger.Request) (exchanger.Answer, error) {
+func (c *socketCore) Exchange(ctx context.Context, _ registrar.Entry, _ scheduler.Send, r *exchanger.Request) (exchanger.Answer, error) {
 	return c.pool.Do(ctx, r)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,7 +3,8 @@
 // of each backend server. The package does no I/O and reads no clock: callers pass the current time.
 //
 // Start with scheduler.go, which has the queues and the decisions; server.go has what is known of each backend server:
-// its estimated load, its request limit and the pace at which requests are sent to it.
+// its estimated load, its request limit and the pace at which requests are sent to it. silence.go finds requests that a
+// server will never answer.
 package scheduler
 
 import (
@@ -48,6 +49,7 @@
 // and its caller may retry after RetryAfter.
 type Decision struct {
 	Server     registrar.Entry
+	Send       Send // Identifies the request at the server in its Report.
 	Reason     Reason
 	RetryAfter time.Duration
 	Inputs     Inputs
@@ -118,6 +120,9 @@
 	latency     map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
 	instances   int
 	retryJitter uint64 // State of the pseudo-random generator that spreads retry times.
+	sends       Send   // Requests assigned so far.
+	silent      []Send
+	silentAt    map[identifier.Service]time.Time // When a server of the service was silent last.
 }
 
 // New returns a Scheduler for an instance in the given zone whose process starts now. It looks up the owners of keys in
@@ -126,7 +131,7 @@
 	return &Scheduler{
 		startedAt: now, zone: zone, owners: owners, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
-		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, instances: 1,
+		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, instances: 1, silentAt: map[identifier.Service]time.Time{},
 	}
 }
 
@@ -176,6 +181,7 @@
 // Report describes the end of a request and the load that the server reported with its answer.
 type Report struct {
 	Outcome  Outcome
+	Send     Send // From the decision.
 	Latency  time.Duration
 	HasLoad  bool    // Whether the answer has a load report: Running, Waiting and Slowness.
 	Running  int     // Requests of all instances that run at the server.
@@ -199,6 +205,7 @@
 		return
 	}
 	sv.running--
+	sv.recordEnd(r.Send)
 	switch r.Outcome {
 	case Answered:
 		ms := float64(r.Latency.Microseconds()) / 1000
@@ -214,6 +221,7 @@
 	case Broken, Cancelled:
 	}
 	if r.HasLoad {
+		s.recordSilence(now, sv, r.Running+r.Waiting)
 		// One is subtracted because the report may still count the request that was answered.
 		others := max(float64(r.Running+r.Waiting-sv.running-1), 0)
 		if now.Sub(sv.reportedAt) > loadReportDecay {
@@ -406,7 +414,9 @@
 	sv.running++
 	sv.lastSentAt = now
 	sv.cold.RecordRequest(now)
-	return Decision{Server: sv.entry, Inputs: in}
+	s.sends++
+	sv.sent = append(sv.sent, sentRequest{s.sends, now})
+	return Decision{Server: sv.entry, Send: s.sends, Inputs: in}
 }
 
 // refuse returns a refusal with a retry time of 1 to 1.5 times the wait.
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -31,6 +31,8 @@
 	coldRate     float64 // Requests a second that all instances together may send while the server is cold.
 	coldRank     int
 	cold         *limiter.Cold
+	sent         []sentRequest // Requests of this instance without an outcome, the oldest first.
+	probedAt     time.Time
 }
 
 // Candidate is a backend server with the bounds that the configuration and operators set for it.
