--- a/allocator/heat.go
+++ b/allocator/heat.go
@@ -126,8 +126,11 @@
 	return math.Sqrt(rate * math.Ln2 / (2 * rateHalfLife.Seconds()))
 }
 
+// maxKeyRate is the highest rate of a key, in requests a second, that is taken for a rate.
+const maxKeyRate = 1e9
+
 // NewKeyRates returns the sum of sketches. A sketch with unequal numbers of ends and rates is skipped; one
-// whose ends are not in order counts up to the first that is not.
+// whose ends are not in order counts up to the first that is not. Rates that are no numbers count as 0.
 func NewKeyRates(sketches []Sketch) *KeyRates {
 	// changes[n] is the rate of key n less that of the key before it.
 	changes := make([]float64, identifier.ShardKeyCount+1)
@@ -141,6 +144,9 @@
 				break
 			}
 			perKey := float64(s.Rates[n]) / float64(int(end)-from+1)
+			if !(perKey >= 0 && perKey <= maxKeyRate) { // One rate that is no number would make all sums so.
+				perKey = 0
+			}
 			changes[from] += perKey
 			changes[int(end)+1] -= perKey
 			from = int(end) + 1
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -105,7 +105,7 @@
 	}, func() float64 { return float64(logWriter.Dropped()) }))
 	transport := &http.Transport{
 		DialContext: exchanger.NewDialer(storeTimeout, storeAckTimeout).DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
-		DisableCompression: true,
+		DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes,
 	}
 	store := storer.NewKindClient(storer.New("http://"+s.StoreAddress, &http.Client{Transport: transport},
 		storer.Budget{CallsPerSecond: storeCallsPerSecond, Burst: storeCallsPerSecond}, storeTimeout), platform.ObjectDialect{})
@@ -126,6 +126,9 @@
 // allocations to the store and sends their differences to all instances.
 const linkMbpsPerCore = 100
 
+// maxStoreHeaderBytes bounds the headers of an answer of the store, in bytes.
+const maxStoreHeaderBytes = 64 << 10
+
 // maxIdleStoreConnections bounds the idle connections that are kept to the store: one for each watch and a few for
 // calls.
 const maxIdleStoreConnections = 8
--- a/storer/client.go
+++ b/storer/client.go
@@ -23,6 +23,9 @@
 	HeaderIfVersion = "If-Version" // In a write: the version that the object must have.
 )
 
+// maxAnswerBytes bounds the body of an answer, in bytes: a page of objects has about 1 MB, and JSON may double that.
+const maxAnswerBytes = 16 << 20
+
 // Budget bounds the platform calls that one client may start.
 type Budget struct {
 	CallsPerSecond float64
@@ -151,10 +154,13 @@
 		return 0, nil, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return 0, nil, nil, fmt.Errorf("%w: answer ended early: %w", ErrUnavailable, err)
 	}
+	if len(data) > maxAnswerBytes {
+		return 0, nil, nil, fmt.Errorf("%w: answer has more than %d bytes", ErrUnavailable, maxAnswerBytes)
+	}
 	return resp.StatusCode, resp.Header, data, nil
 }
 
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -155,3 +155,29 @@
 		t.Errorf("list without the fault: %v, error %v; want no instance", list, err)
 	}
 }
+
+// TestEndlessAnswer guards against an answer of the platform without end that is held in memory.
+func TestEndlessAnswer(t *testing.T) {
+	t.Parallel()
+	sent := make(chan int, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := make([]byte, 1<<20)
+		n := 0
+		for {
+			written, err := w.Write(block)
+			n += written
+			if err != nil {
+				sent <- n
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := storer.New(server.URL, &http.Client{}, storer.Budget{CallsPerSecond: 10, Burst: 10}, 30*time.Second)
+	if _, err := client.Read(context.Background(), "Turmericlift/Thing"); !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("error %v, want ErrUnavailable", err)
+	}
+	if n := <-sent; n > 64<<20 {
+		t.Errorf("the platform sent %d bytes before the connection was closed, want at most 64 MiB", n)
+	}
+}
