sender: an answer that names another request is passed to nobody, heads are bounded

Cause: net/http matches answers to requests by their order on a connection. A backend server of `serve` that sends a second copy of an answer, late, when the connection is in use again, gave it to the next caller. Answers that name another request now end as Unknown; the simulated backend server repeats the ID.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -206,6 +206,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if id := r.Header.Get(sender.HeaderRequestID); id != "" {
+		w.Header().Set(sender.HeaderRequestID, id)
+	}
 	refused := b.acquireSlot(r.Context())
 	if refused != "" {
 		refuse(w, refused)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -63,6 +63,9 @@
 // decode.
 const maxOrderAnswerBytes = 4 << 20
 
+// maxHeaderBytes bounds the headers of an answer, in bytes.
+const maxHeaderBytes = 64 << 10
+
 // Sender sends orders and requests to backend servers. It is safe for concurrent use.
 type Sender struct {
 	requests http.RoundTripper
@@ -73,8 +76,8 @@
 // most 2 more for orders.
 func New(connections int) *Sender {
 	return &Sender{
-		requests: &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute},
-		orders:   &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute},
+		requests: &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
+		orders:   &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
 	}
 }
 
@@ -133,6 +136,10 @@
 		return answerToError(ctx, err, gotConnection.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if id := resp.Header.Get(HeaderRequestID); id != "" && r.ID != "" && id != string(r.ID) {
+		// A late second copy of an earlier answer on the connection: the request itself may run.
+		return answerer.Indeterminate(answerer.CodeBackendBroke, "the backend server's answer belongs to another request")
+	}
 	if refused := resp.Header.Get(HeaderRefused); refused != "" {
 		return answerToRefusal(refused)
 	}
