--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -234,7 +234,7 @@
 	f.core.RecordOutcome(e, report)
 	if errors.Is(err, ErrSilent) {
 		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Ms": report.Latency.Milliseconds()}).Info("backend server will not answer the request, its connection is closed")
-		return f.retryOrFail(req, e, &result{code: answerer.CodeTimedOut, status: http.StatusGatewayTimeout, detail: "the backend server does not answer the request; it may have run"})
+		return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the backend server does not answer the request; it may have run"})
 	}
 	f.core.RecordBrokenConnection(e, req.fingerprint)
 	f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Info("connection broke after the request was sent to the backend server")
