--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -110,6 +110,10 @@
 	// watchDelay is the time between an event and the next watch, per interval factor. Changes come
 	// in groups, and each answer of a watch costs a call.
 	watchDelay = 100 * time.Millisecond
+	// startWatchDelay takes the place of a shorter watchDelay for backend servers in the startTime after the start: where all
+	// start at once, they register one after the other, and nothing can be granted yet.
+	startWatchDelay = 500 * time.Millisecond
+	startTime       = 3 * time.Second
 	// listInterval is the time between two lists of the kind that is not watched, per interval
 	// factor.
 	listInterval = 4 * time.Second
@@ -231,6 +235,8 @@
 	factor := time.Duration(c.ownership.Gossip.IntervalFactor(now))
 	timing := mirrorer.Timing{WatchWait: watchWait, WatchDelay: watchDelay * factor}
 	switch {
+	case kind == c.kinds.Servers && now.Sub(c.startedAt) < startTime:
+		timing.WatchDelay = max(timing.WatchDelay, startWatchDelay)
 	case kind == c.kinds.Config && (c.usesShortWatch(int(factor)) || c.ownership.Planner(now) == c.settings.Instance):
 		timing.WatchWait = shortWatchWait
 	case kind == c.kinds.Shared: // The instance that writes a shared object sends it to the others.
