commander: the garbage collector of an instance runs less often

Cause: the live heap of an instance is some 10 MB of 400 or more, so the collector ran after each 10 MB.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -33,6 +33,9 @@
 	// memoryLimitShare is the share of the process's memory limit that becomes the Go runtime's soft memory limit;
 	// the rest is for stacks and the kernel's buffers.
 	memoryLimitShare = 0.7
+	// gcPercent is the growth of the heap, in per cent of the live heap, after which the garbage collector runs. The live
+	// heap is a small part of an instance's memory, and its processor is not.
+	gcPercent = 300
 	// storeTimeout bounds a call to the platform's store, which answers within milliseconds, and within some
 	// hundred milliseconds when it is slow.
 	storeTimeout = 1500 * time.Millisecond
@@ -68,6 +71,7 @@
 	}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetGCPercent(gcPercent)
 	}
 	logWriter := logger.New(env.out)
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
