scheduler, custodian: work for each request and each allocation does not grow with all servers and segments

Cause, from reading with the benchmark of custodian/scale_test.go at hand: each decision and each outcome of a request went over all servers of its service (714) to set what waits for them; each new segment was compared with all known ones. Now only servers for which something waits are visited, and a segment is looked up in the allocation before. Behaviour is the same: scheduler/_fixtures and custodian.TestOneOwner pass.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -81,6 +81,13 @@
 	return &a.Segments[n]
 }
 
+// Overlapping returns the segments that overlap a range. The caller must not change them.
+func (a *Allocation) Overlapping(r identifier.Range) []Segment {
+	from := sort.Search(len(a.Segments), func(n int) bool { return a.Segments[n].Range.To >= r.From })
+	to := sort.Search(len(a.Segments), func(n int) bool { return a.Segments[n].Range.From > r.To })
+	return a.Segments[from:to]
+}
+
 // Server is a backend server that may own keys.
 type Server struct {
 	registrar.Entry
--- a/custodian/allocations.go
+++ b/custodian/allocations.go
@@ -58,29 +58,27 @@
 // service's segments. a must not be modified any more.
 func (c *Custodian) SetAllocation(now time.Time, a *allocator.Allocation) {
 	service := a.Service
-	if old := c.allocations[service]; old != nil && old.Version >= a.Version {
+	old := c.allocations[service]
+	if old != nil && old.Version >= a.Version {
 		return
 	}
 	c.allocations[service] = a
 	c.cells = nil
-	known := map[segmentKey]bool{}
 	moving := 0
-	for _, s := range a.Segments {
-		key := segmentKey{service, s.Range, s.Epoch}
-		known[key] = true
-		st := c.segmentState(now, key)
+	for n := range a.Segments {
+		s := &a.Segments[n]
+		st := c.segmentState(now, old, segmentKey{service, s.Range, s.Epoch})
+		st.version = a.Version
 		if s.Moving {
 			moving++
 			c.recordRound(now, st, s)
 		}
 		if s.Fence != 0 {
-			fence := segmentKey{service, s.Range, s.Fence}
-			known[fence] = true
-			c.segmentState(now, fence)
+			c.segmentState(now, old, segmentKey{service, s.Range, s.Fence}).version = a.Version
 		}
 	}
-	for key := range c.segments {
-		if key.service == service && !known[key] {
+	for key, st := range c.segments {
+		if key.service == service && st.version != a.Version {
 			delete(c.segments, key)
 		}
 	}
@@ -90,7 +88,7 @@
 
 // recordRound records when a new round of a move, and with the first round the move itself, was first
 // seen.
-func (c *Custodian) recordRound(now time.Time, st *segmentState, s allocator.Segment) {
+func (c *Custodian) recordRound(now time.Time, st *segmentState, s *allocator.Segment) {
 	if st.round == s.Round {
 		return
 	}
@@ -100,16 +98,21 @@
 	st.round, st.roundAt = s.Round, now
 }
 
-// segmentState returns the state of a segment. A new state copies seenAt and accepted from a known
-// segment of the same epoch that overlaps it, since the new segment was split from that one.
-func (c *Custodian) segmentState(now time.Time, key segmentKey) *segmentState {
+// segmentState returns the state of a segment. A new state copies seenAt and accepted from a segment of the allocation
+// before, which may be nil, that has the same epoch and overlaps it: the new segment was split from that one.
+func (c *Custodian) segmentState(now time.Time, before *allocator.Allocation, key segmentKey) *segmentState {
 	if st, ok := c.segments[key]; ok {
 		return st
 	}
 	st := &segmentState{seenAt: now}
-	for old, previous := range c.segments {
-		if old.service == key.service && old.epoch == key.epoch && old.rng.Overlaps(key.rng) {
-			st.seenAt, st.accepted = previous.seenAt, previous.accepted
+	if before != nil {
+		for _, s := range before.Overlapping(key.rng) {
+			if s.Epoch != key.epoch && s.Fence != key.epoch {
+				continue
+			}
+			if previous, ok := c.segments[segmentKey{key.service, s.Range, key.epoch}]; ok {
+				st.seenAt, st.accepted = previous.seenAt, previous.accepted
+			}
 		}
 	}
 	c.segments[key] = st
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -107,6 +107,8 @@
 
 // segmentState is what this instance knows of a segment beyond what the allocation says.
 type segmentState struct {
+	// version is that of the newest allocation that has the segment.
+	version identifier.Version
 	// seenAt is when this instance first saw the segment, or the segment that it was split from.
 	seenAt time.Time
 	// round is the newest round of the move that was seen; 0 if the segment is not moving.
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -37,7 +37,7 @@
 
 // startForwarder starts a Forwarder in front of a backend server that answers each connection's first request with write,
 // and returns its address.
-func startForwarder(t *testing.T, write func(net.Conn)) string {
+func startForwarder(t testing.TB, write func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,14 +111,16 @@
 
 // Scheduler holds the queues and server estimates of one instance. It is not safe for concurrent use.
 type Scheduler struct {
-	startedAt   time.Time
-	zone        identifier.Zone
-	owners      Owners
-	servers     map[identifier.BackendServer]*server
-	pools       map[identifier.Service][]*server // Sorted by server ID.
-	queues      map[identifier.Service][]*PendingRequest
-	latency     map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
-	instances   int
+	startedAt time.Time
+	zone      identifier.Zone
+	owners    Owners
+	servers   map[identifier.BackendServer]*server
+	pools     map[identifier.Service][]*server // Sorted by server ID.
+	queues    map[identifier.Service][]*PendingRequest
+	latency   map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
+	instances int
+	// waiting is, by service, the number of requests that wait for each server as the owner of their keys.
+	waiting     map[identifier.Service]map[identifier.BackendServer]int
 	retryJitter uint64 // State of the pseudo-random generator that spreads retry times.
 	sends       Send   // Requests assigned so far.
 	silent      []Send
@@ -131,7 +133,7 @@
 	return &Scheduler{
 		startedAt: now, zone: zone, owners: owners, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
-		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, instances: 1, silentAt: map[identifier.Service]time.Time{},
+		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, instances: 1, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
 	}
 }
 
@@ -279,10 +281,9 @@
 // decideQueue goes through the queue of a service in order and delivers each decision that can be made now.
 func (s *Scheduler) decideQueue(now time.Time, service identifier.Service) {
 	queue := s.queues[service]
+	defer s.recordWaiting(service, s.waiting[service])
+	s.waiting[service] = nil
 	if len(queue) == 0 {
-		for _, sv := range s.pools[service] {
-			sv.waiting = 0
-		}
 		return
 	}
 	sort.SliceStable(queue, func(a, b int) bool { return queue[a].sortKey(now) < queue[b].sortKey(now) })
@@ -307,8 +308,21 @@
 		queue[n] = nil
 	}
 	s.queues[service] = kept
-	for _, sv := range s.pools[service] {
-		sv.waiting = ahead[sv.entry.ID]
+	s.waiting[service] = ahead
+}
+
+// recordWaiting sets the number of waiting requests of each server. before has the servers that had any; the work must not
+// grow with the servers that have none, since it is done for each request.
+func (s *Scheduler) recordWaiting(service identifier.Service, before map[identifier.BackendServer]int) {
+	for id := range before {
+		if sv, ok := s.servers[id]; ok {
+			sv.waiting = 0
+		}
+	}
+	for id, n := range s.waiting[service] {
+		if sv, ok := s.servers[id]; ok {
+			sv.waiting = n
+		}
 	}
 }
 
