--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -165,9 +165,9 @@
 	verified          map[identifier.BackendServer]verification   // What the newest list showed.
 	verifyDueAt       time.Time                                   // When a list of servers is due; zero if none is requested.
 	leaving           bool
-	wasReady          bool            // Set once the instance was ready for the first time.
-	sendingTo         map[string]bool // Addresses to which a state is being sent.
-	refreshDue        bool            // The number of instances changed since the last refresh.
+	wasReady          bool           // Set once the instance was ready for the first time.
+	sendingTo         map[string]int // By address, the number of messages that are being sent.
+	refreshDue        bool           // The number of instances changed since the last refresh.
 	done              chan error
 }
 
@@ -176,6 +176,7 @@
 	at     time.Time
 	object storer.Object
 	delta  *allocator.Delta
+	states int // Number of states that contained it.
 }
 
 // poolKey identifies the connections to an incarnation of a backend server at an address.
@@ -205,7 +206,7 @@
 		keyCounters: map[identifier.Service]*allocator.Counter{}, exchanges: map[scheduler.Send]context.CancelCauseFunc{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
 		verified:  map[identifier.BackendServer]verification{},
-		sendingTo: map[string]bool{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
+		sendingTo: map[string]int{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
 	}
 	c.view = newView()
 	c.ownership = custodian.New(now, custodian.Settings{
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -47,6 +47,8 @@
 	crashReportTime = 5 * time.Second
 	// sendTimeout bounds the sending of a state.
 	sendTimeout = time.Second
+	// maxUrgentSends bounds the messages that are being sent to one instance at the same time.
+	maxUrgentSends = 6
 	// copyInterval is the time between two checks whether another instance has newer objects.
 	copyInterval = 75 * time.Millisecond
 	// copyTicks is the number of such checks between two calls that fetch another instance's copies
@@ -83,8 +85,10 @@
 				c.log.WithField("Error", err).Error("message to other instances does not encode, it is not sent")
 				continue
 			}
+			s := &m.message.State
+			urgent := len(s.WrittenObjects)+len(s.AllocationDeltas)+len(s.Releases) > 0
 			for _, address := range m.addresses {
-				c.sendTo(address, data)
+				c.sendTo(address, data, urgent)
 			}
 		}
 	})
@@ -166,11 +170,18 @@
 	return state, p.Address
 }
 
-// sendTo sends a state to an address, unless an earlier one is still being sent to it.
-func (c *Conductor) sendTo(address string, data []byte) {
+// sendTo sends a message to an address, unless an earlier one is still being sent to it. Several urgent ones may be sent
+// at the same time: their content is not repeated.
+func (c *Conductor) sendTo(address string, data []byte, urgent bool) {
+	limit := 1
+	if urgent {
+		limit = maxUrgentSends
+	}
 	c.mu.Lock()
-	busy := c.sendingTo[address]
-	c.sendingTo[address] = true
+	busy := c.sendingTo[address] >= limit
+	if !busy {
+		c.sendingTo[address]++
+	}
 	c.mu.Unlock()
 	if busy {
 		return
@@ -182,7 +193,9 @@
 			c.log.WithFields(logrus.Fields{"Address": address, "Error": err}).Debug("state was not sent to another instance, a later one follows")
 		}
 		c.mu.Lock()
-		delete(c.sendingTo, address)
+		if c.sendingTo[address]--; c.sendingTo[address] == 0 {
+			delete(c.sendingTo, address)
+		}
 		c.mu.Unlock()
 	})
 }
@@ -215,15 +228,18 @@
 	return s
 }
 
-// addRecentWrites adds recent writes to a state. Each write goes into several states, because a
-// state is skipped while the one before it is still being sent.
+// addRecentWrites adds recent writes to a state. A short one goes into several states, since datagrams get lost. A longer
+// one goes into one state, which is sent on a stream: repeated to each instance, it would fill slow links.
 func (c *Conductor) addRecentWrites(now time.Time, s *gossiper.State) {
 	kept := c.recentWrites[:0]
 	for _, p := range c.recentWrites {
 		if now.Sub(p.at) >= announceTime {
 			continue
 		}
-		kept = append(kept, p)
+		p.states++
+		if p.states < shortWriteStates && p.isShort() {
+			kept = append(kept, p)
+		}
 		if p.delta != nil {
 			s.AllocationDeltas = append(s.AllocationDeltas, *p.delta)
 		} else {
@@ -233,8 +249,24 @@
 	c.recentWrites = kept
 }
 
-// announceTime is how long a write is announced: two states.
-const announceTime = 2 * gossiper.SendInterval
+// isShort reports whether a write fits a datagram together with the rest of a state.
+func (w *recentWrite) isShort() bool {
+	if w.delta != nil {
+		return len(w.delta.Changed) <= shortDeltaSegments
+	}
+	return len(w.object.Data) <= shortObjectBytes
+}
+
+const (
+	// announceTime is how long a write is announced at most: two states.
+	announceTime = 2 * gossiper.SendInterval
+	// shortWriteStates is the number of states that a short write goes into.
+	shortWriteStates = 3
+	// shortDeltaSegments is the largest number of changed segments of a short delta; each takes about 100 bytes.
+	shortDeltaSegments = 6
+	// shortObjectBytes is the largest size of a short object, in bytes.
+	shortObjectBytes = 600
+)
 
 // keyRateSketches returns this instance's request rates by key for each service.
 func (c *Conductor) keyRateSketches(now time.Time) map[identifier.Service]allocator.Sketch {
