--- a/forwarder/cost_test.go
+++ b/forwarder/cost_test.go
@@ -25,6 +25,7 @@
 			b.Fatal(err)
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 		_ = caller.Close()
 	}
 }
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -114,6 +114,7 @@
 					}
 					return // The reset has overtaken the head.
 				}
+				defer func() { _ = resp.Body.Close() }()
 				body, err := io.ReadAll(resp.Body)
 				success := err == nil && resp.StatusCode == http.StatusOK
 				if success != c.complete || success && len(body) != largeBytes {
@@ -184,7 +185,11 @@
 	defer func() { _ = caller.Close() }()
 	_, _ = io.WriteString(caller, "POST /write/a HTTP/1.1\r\nHost: h\r\nId: id-1\r\nLeft: 200\r\nContent-Length: 10\r\n\r\nhalf")
 	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
-	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
-		t.Errorf("answer %v, %v; want status 408, which says that the request has not run", resp, err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("status %d, want 408, which says that the request has not run", resp.StatusCode)
 	}
 }
--- a/gossiper/relay_test.go
+++ b/gossiper/relay_test.go
@@ -21,7 +21,6 @@
 	loss      float64
 	sent      int
 	received  map[string]int
-	bytes     int
 }
 
 // node is one instance of a fleet.
@@ -126,7 +125,7 @@
 	return n
 }
 
-// suspected returns how many living instances take one for live.
+// liveAt returns how many living instances take one for live.
 func (f *fleet) liveAt(name identifier.Instance) int {
 	n := 0
 	for _, nd := range f.nodes {
