--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -231,13 +231,20 @@
 			return Answer{}, true, errNoLength
 		}
 		if isForeign {
-			if err := skip(resp.Body); err != nil {
+			err := skip(resp.Body)
+			if err == nil { // Closing a body reads it to its end, which there may not be.
+				err = resp.Body.Close()
+			}
+			if err != nil {
 				return Answer{}, true, err
 			}
 			continue
 		}
 		c.idleTimeout = keepAlive(resp.Header)
 		a, err := readBody(resp)
+		if err == nil && a.Rest == nil {
+			err = resp.Body.Close()
+		}
 		return a, resp.Close, err
 	}
 	return Answer{}, true, errTooManyForeign
