--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -60,7 +60,9 @@
 	objects     map[string]storer.Object
 	revision    identifier.Version
 	requestedAt time.Time          // When the newest list was requested.
-	cancelRound context.CancelFunc // Cancels the present list or watch, so that the kind is listed again.
+	cancelRound context.CancelFunc // Cancels the present watch, so that the kind is listed again.
+	listing     bool               // A list is under way.
+	listAgain   bool               // Relist was called while a list was under way.
 	done        chan error
 }
 
@@ -113,14 +115,10 @@
 // watched is listed once, and listAndWatch returns after the pause before the next list. It calls
 // onSuccess after each call that succeeds.
 func (m *Mirror) listAndWatch(ctx context.Context, onSuccess func()) error {
-	requestedAt := m.clock()
-	page, err := m.platform.List(ctx, m.kind)
+	from, err := m.list(ctx, onSuccess)
 	if err != nil {
 		return err
 	}
-	onSuccess()
-	m.ApplyList(Copy{m.kind, page.Revision, page.Objects}, requestedAt)
-	from := page.Revision
 	for {
 		timing := m.timing(m.kind)
 		if timing.WatchWait == 0 {
@@ -140,10 +138,38 @@
 	}
 }
 
-// Relist ends the present watch, so that the kind is listed again.
+// list lists the kind, and lists it again if Relist was called meanwhile. It returns the revision to watch from.
+func (m *Mirror) list(ctx context.Context, onSuccess func()) (identifier.Version, error) {
+	for {
+		m.mu.Lock()
+		m.listing, m.listAgain = true, false
+		m.mu.Unlock()
+		requestedAt := m.clock()
+		page, err := m.platform.List(ctx, m.kind)
+		m.mu.Lock()
+		m.listing = false
+		again := m.listAgain
+		m.mu.Unlock()
+		if err != nil {
+			return 0, err
+		}
+		onSuccess()
+		m.ApplyList(Copy{m.kind, page.Revision, page.Objects}, requestedAt)
+		if !again {
+			return page.Revision, nil
+		}
+	}
+}
+
+// Relist ends the present watch, so that the kind is listed again. A list that is under way is completed, and followed by
+// another one: on a slow link, lists that are cancelled one after the other would never bring anything.
 func (m *Mirror) Relist() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.listing {
+		m.listAgain = true
+		return
+	}
 	if m.cancelRound != nil {
 		m.cancelRound()
 	}
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -115,3 +115,53 @@
 		t.Errorf("newest list requested at %s, want 3 s", requestedAt)
 	}
 }
+
+// slowPlatform answers lists when it is told to, and reports that they have begun.
+type slowPlatform struct {
+	began chan struct{}
+	lists chan storer.Page
+}
+
+func (s *slowPlatform) List(ctx context.Context, _ storer.ObjectKind) (storer.Page, error) {
+	s.began <- struct{}{}
+	select {
+	case p := <-s.lists:
+		return p, ctx.Err()
+	case <-ctx.Done():
+		return storer.Page{}, ctx.Err()
+	}
+}
+
+func (s *slowPlatform) Watch(ctx context.Context, _ storer.ObjectKind, _ identifier.Version, _ time.Duration) (storer.Events, error) {
+	<-ctx.Done()
+	return storer.Events{}, ctx.Err()
+}
+
+// TestRelistDuringList guards against a list over a slow link that never ends, because it is cancelled and begun again each
+// time that another instance shows something newer. The list that is under way is applied, and another one follows it.
+func TestRelistDuringList(t *testing.T) {
+	s := &slowPlatform{make(chan struct{}, 8), make(chan storer.Page)}
+	changed := make(chan struct{}, 8)
+	m := mirrorer.New("k", s, func(storer.ObjectKind) mirrorer.Timing { return mirrorer.Timing{WatchWait: time.Second} },
+		time.Now, func(storer.ObjectKind) { changed <- struct{}{} }, func(storer.ObjectKind, error) {}, func(context.Context, int) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	go m.Run(ctx)
+	for version := identifier.Version(1); version <= 3; version++ {
+		<-s.began
+		if version < 3 {
+			m.Relist()
+			m.Relist()
+		}
+		select {
+		case s.lists <- storer.Page{Revision: version, Objects: []storer.Object{object("a", version)}}:
+		case <-s.began:
+			t.Fatalf("list %d was cancelled and begun again", version)
+		}
+		<-changed
+		if got := versions(m)["a"]; got != version {
+			t.Errorf("version %d after list %d, want %d", got, version, version)
+		}
+	}
+	cancel()
+	<-m.Done()
+}
