--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -107,6 +107,9 @@
 	// until they are reopened; these instances reopen theirs early enough to tell all others within
 	// the bound on the time that a new configuration may take.
 	shortWatchWait = 2 * time.Second
+	// relayWatchWait takes its place where states are relayed. There the relays use short watches, since only what they have
+	// reaches others soon, and the way from them takes more of the bound.
+	relayWatchWait = time.Second
 	// watchDelay is the time between an event and the next watch, per interval factor. Changes come
 	// in groups, and each answer of a watch costs a call.
 	watchDelay = 100 * time.Millisecond
@@ -158,7 +161,7 @@
 	// listed again.
 	historyLostKind   storer.ObjectKind
 	historyLostBefore identifier.Version
-	wasPlanner        bool
+	watchedForOthers  bool
 	lagDetectors      map[storer.ObjectKind]*mirrorer.LagDetector // By kind, for the kinds that are watched.
 	pools             map[poolKey]*exchanger.Pool                 // Connections for requests.
 	orders            map[poolKey]*exchanger.Pool                 // Connections for grants and releases.
@@ -238,6 +241,10 @@
 	switch {
 	case kind == c.kinds.Servers && now.Sub(c.startedAt) < startTime:
 		timing.WatchDelay = max(timing.WatchDelay, startWatchDelay)
+	case kind == c.kinds.Config && c.ownership.Gossip.Relayed():
+		if c.watchesForOthers(now) {
+			timing.WatchWait = relayWatchWait
+		}
 	case kind == c.kinds.Config && (c.usesShortWatch(int(factor)) || c.ownership.Planner(now) == c.settings.Instance):
 		timing.WatchWait = shortWatchWait
 	case kind == c.kinds.Shared: // The instance that writes a shared object sends it to the others.
@@ -246,6 +253,12 @@
 	return timing
 }
 
+// watchesForOthers reports whether others rely on this instance to notice a new configuration: it relays or plans. The
+// caller holds the lock.
+func (c *Conductor) watchesForOthers(now time.Time) bool {
+	return c.ownership.Gossip.Forwards() || c.ownership.Planner(now) == c.settings.Instance
+}
+
 // usesShortWatch reports whether this instance belongs to the fraction of all instances (one in
 // factor) that use short watches to detect that the store's history is gone.
 func (c *Conductor) usesShortWatch(factor int) bool {
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -42,11 +42,11 @@
 		up := c.ownership.StoreUp()
 		settled := now.Sub(c.startedAt) >= custodian.DiscoveryTime
 		plans := c.ownership.ShouldPlan(now)
-		planner := c.ownership.Planner(now) == c.settings.Instance
-		if planner && !c.wasPlanner {
+		watches := c.watchesForOthers(now)
+		if watches && !c.watchedForOthers {
 			c.mirrors[c.kinds.Config].Relist() // Its present watch may wait for up to watchWait.
 		}
-		c.wasPlanner = planner
+		c.watchedForOthers = watches
 		c.mu.Unlock()
 		if !up {
 			return
