conductor, scheduler, forwarder: answers log whether a server counted as cold, and on what knowledge

Each line "answered" now has the belief (Cold), the number of instances that divided the rate (Sharers), and the time for which changes may have gone unnoticed (ViewAgeMs). Copies say whether the store answers the instance that sends them, so that their age is known. No decision has changed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -6,8 +6,8 @@
 // Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects,
 // requests.go serves the requests of callers (it implements forwarder.Core), planning.go plans
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the
-// shared objects, peers.go exchanges states with other instances, and outage.go tracks outages of
-// the platform's store.
+// shared objects, peers.go exchanges states with other instances, outage.go tracks outages of the
+// platform's store, and freshness.go tracks how old the view may be.
 package conductor
 
 import (
@@ -170,6 +170,7 @@
 	leaving           bool
 	wasReady          bool           // Set once the instance was ready for the first time.
 	sendingTo         map[string]int // By address, the number of messages that are being sent.
+	sharers           int            // The number of instances among which bounds are divided.
 	refreshDue        bool           // The number of instances changed since the last refresh.
 	done              chan error
 }
--- a/conductor/outage.go
+++ b/conductor/outage.go
@@ -17,6 +17,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
+		c.view.storeAnsweredAt = c.clock()
 		c.recordStoreAnswer(c.clock())
 		return
 	}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -442,6 +442,7 @@
 type copyAnswer struct {
 	Copies        []mirrorer.Copy
 	Confirmations []gossiper.Confirmation
+	StoreUp       bool // Whether the platform's store answers the instance that sent the copies.
 }
 
 // HandleRequest implements transporter.Handler: it answers another instance's request for copies of
@@ -464,7 +465,7 @@
 		}
 	}
 	c.mu.Lock()
-	answer.Confirmations = c.ownership.Confirmations(c.clock())
+	answer.Confirmations, answer.StoreUp = c.ownership.Confirmations(c.clock()), c.ownership.StoreUp()
 	c.mu.Unlock()
 	reply, err := cbor.Marshal(answer)
 	if err != nil {
@@ -571,6 +572,9 @@
 	}
 	c.mu.Lock()
 	c.ownership.ApplyConfirmations(askedAt, answer.Confirmations)
+	if answer.StoreUp && askedAt.After(c.view.copiedAt) {
+		c.view.copiedAt = askedAt
+	}
 	c.mu.Unlock()
 	for _, copied := range answer.Copies {
 		m, ok := c.mirrors[copied.Kind]
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -175,6 +175,9 @@
 		if c.refreshDue {
 			c.refresh(now)
 		}
+		c.scheduler.SetInformedAt(c.informedAt())
+		c.scope.Gauge("ViewAge").Update(c.viewAge(now).Seconds())
+		c.scope.Gauge("Sharers").Update(float64(c.sharers))
 		if c.scheduler.WaitingCount() > 0 {
 			c.scheduler.Tick(now)
 		}
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -71,6 +71,9 @@
 	c.mu.Unlock()
 	select {
 	case d := <-r.Decided:
+		if d.Inputs.Cold && d.Reason == scheduler.NotRefused {
+			c.scope.Counter("ColdSends").Inc(1)
+		}
 		return d, true
 	case <-ctx.Done():
 	}
@@ -321,6 +324,7 @@
 			line("  %s owner %s incarnation %d epoch %d moving %t", s.Range, s.Owner, s.Incarnation, s.Epoch, s.Moving)
 		}
 	}
+	line("Bounds shared by %d instances, changes of backend servers known up to %s ago", c.sharers, c.viewAge(now).Round(time.Millisecond))
 	running := c.scheduler.RunningByServer()
 	ids := make([]string, 0, len(c.view.entries))
 	for id := range c.view.entries {
@@ -329,7 +333,8 @@
 	sort.Strings(ids)
 	for _, id := range ids {
 		e := c.view.entries[identifier.BackendServer(id)]
-		line("Server %s incarnation %d service %s zone %s running %d usable %t", id, e.Incarnation, e.Service, e.Zone, running[e.ID], e.Usable())
+		line("Server %s incarnation %d service %s zone %s running %d usable %t cold %s", id, e.Incarnation, e.Service, e.Zone, running[e.ID], e.Usable(),
+			max(c.coldUntil(e).Sub(now), 0).Round(time.Millisecond))
 	}
 	line("Requests waiting %d", c.scheduler.WaitingCount())
 	return b.String()
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -37,6 +37,8 @@
 	members             map[string]seenMember         // By name of the member object.
 	storeDownAt         time.Time                     // Start of the present outage; zero while the store answers.
 	storeUpAt           time.Time                     // End of the last outage.
+	storeAnsweredAt     time.Time                     // When the store last answered this instance.
+	copiedAt            time.Time                     // When the last copies from another instance were requested.
 }
 
 // seenMember is what a version of a member object says.
@@ -331,6 +333,10 @@
 func (c *Conductor) refresh(now time.Time) {
 	c.refreshDue = false
 	count := c.ownership.Gossip.Count(now)
+	if count != c.sharers {
+		c.log.WithFields(logrus.Fields{"Sharers": count, "Before": c.sharers}).Info("number of instances that share bounds changed")
+		c.sharers = count
+	}
 	c.scheduler.SetInstanceCount(count)
 	c.ownership.SetEnvironment(c.environment())
 	if c.view.table == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -357,6 +357,7 @@
 		own := req.inputs.Owner
 		fields["Key"], fields["Owner"], fields["Epoch"], fields["Allocation"], fields["Moving"] = req.key, own.Server, own.Epoch, own.Version, own.Moving
 	}
+	fields["Cold"], fields["Sharers"], fields["ViewAgeMs"] = req.inputs.Cold, req.inputs.Sharers, req.inputs.ViewAge.Milliseconds()
 	if res.code != answerer.CodeOK {
 		fields["Running"], fields["Others"], fields["LoadAgeMs"] = req.inputs.Running, int(req.inputs.OtherLoad+half), req.inputs.LoadAge.Milliseconds()
 		fields["Ahead"], fields["WaitMs"], fields["RetryAfterMs"] = req.inputs.Ahead, req.inputs.ExpectedWait.Milliseconds(), res.retryAfter.Milliseconds()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,6 +63,12 @@
 	LoadAge      time.Duration // Age of the server's last load report; 0 if there was none.
 	Ahead        int           // Number of requests ahead of this one in the queue.
 	ExpectedWait time.Duration
+	// Cold reports whether the request rate of a cold server was applied to the server, and Sharers is the number of
+	// instances among which it was divided.
+	Cold    bool
+	Sharers int
+	// ViewAge is the time for which changes of backend servers and evacuations may have gone unnoticed.
+	ViewAge time.Duration
 }
 
 // Owners looks up the owners of keys.
@@ -119,6 +125,9 @@
 	queues    map[identifier.Service][]*PendingRequest
 	latency   map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
 	instances int
+	// informedAt is the time up to which the instance knows all changes of backend servers and evacuations; zero if it
+	// is told of each change.
+	informedAt time.Time
 	// waiting is, by service, the number of requests that wait for each server as the owner of their keys.
 	waiting     map[identifier.Service]map[identifier.BackendServer]int
 	retryJitter uint64 // State of the pseudo-random generator that spreads retry times.
@@ -140,6 +149,18 @@
 // SetInstanceCount sets the number of instances that share the request rates of cold servers. It is 1 at first.
 func (s *Scheduler) SetInstanceCount(n int) { s.instances = n }
 
+// SetInformedAt sets the time up to which the instance knows all changes of backend servers and evacuations; zero if it
+// is told of each change.
+func (s *Scheduler) SetInformedAt(at time.Time) { s.informedAt = at }
+
+// viewAge returns the time for which changes of backend servers and evacuations may have gone unnoticed.
+func (s *Scheduler) viewAge(now time.Time) time.Duration {
+	if s.informedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.informedAt)
+}
+
 // ServiceTime returns the average service time of a request at a server in milliseconds, without the time for which it
 // waits there, as this instance estimates it. It returns false if the server is not known.
 func (s *Scheduler) ServiceTime(id identifier.BackendServer) (ms float64, ok bool) {
@@ -374,7 +395,7 @@
 		wait = time.Duration(float64(ahead[sv.entry.ID]+1) / max(sv.coldRate/float64(s.instances), 0.5) * float64(time.Second))
 	}
 	if s.missesDeadline(now, r, wait) {
-		in := sv.inputs(now)
+		in := s.inputs(now, sv)
 		in.Ahead, in.ExpectedWait = ahead[sv.entry.ID], wait
 		return s.refuse(QueueTooLong, wait, in), true
 	}
@@ -424,7 +445,7 @@
 
 // assign assigns a request to a server and counts it as running there.
 func (s *Scheduler) assign(now time.Time, sv *server) Decision {
-	in := sv.inputs(now)
+	in := s.inputs(now, sv)
 	sv.running++
 	sv.lastSentAt = now
 	sv.cold.RecordRequest(now)
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -78,9 +78,9 @@
 	return float64(defaultLatency.Milliseconds())
 }
 
-// inputs returns the values of the server that are logged with a decision.
-func (sv *server) inputs(now time.Time) Inputs {
-	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now)}
+// inputs returns the values that are logged with a decision on a server.
+func (s *Scheduler) inputs(now time.Time, sv *server) Inputs {
+	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv), Sharers: s.instances, ViewAge: s.viewAge(now)}
 	if !sv.reportedAt.IsZero() {
 		in.LoadAge = now.Sub(sv.reportedAt)
 	}
