apportioner, conductor, scheduler: shares of a bound follow from records in the store, not from who is heard

One that has just started counts one, one that has been cut off for 10 s counts its side, and the shares add up to more than the bound: the class is a sum over instances that is divided by a local view.

Now each instance has a record in the store (the member object, which was there). It divides bounds by the records on its list, has no share with a list older than 10 s, and as a new instance waits 10.2 s from its record on; a restarted one finds its record settled. Records of instances that are gone for 10 min are ended, then removed. Retries beyond the ratio and connections are divided in the same way. A server of which this instance has no part is refused at once unless it is warm before the deadline.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -6,8 +6,9 @@
 // Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects,
 // requests.go serves the requests of callers (it implements forwarder.Core), planning.go plans
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the
-// shared objects, peers.go exchanges states with other instances, outage.go tracks outages of the
-// platform's store, and freshness.go tracks how old the view may be.
+// shared objects, peers.go exchanges states with other instances, records.go keeps the records of
+// the instances among which bounds are divided, outage.go tracks outages of the platform's store, and
+// freshness.go tracks how old the view may be.
 package conductor
 
 import (
@@ -21,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
@@ -86,6 +88,8 @@
 type Store interface {
 	mirrorer.Platform
 	Put(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version, data []byte) (identifier.Version, error)
+	// Delete removes an object if its present version is expected; its errors are those of Put.
+	Delete(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version) error
 }
 
 const (
@@ -170,8 +174,10 @@
 	leaving           bool
 	wasReady          bool           // Set once the instance was ready for the first time.
 	sendingTo         map[string]int // By address, the number of messages that are being sent.
-	sharers           int            // The number of instances among which bounds are divided.
-	refreshDue        bool           // The number of instances changed since the last refresh.
+	apportioner       *apportioner.Apportioner
+	sharers           int                               // The number of instances among which bounds are divided, as last logged.
+	missingSince      map[identifier.Instance]time.Time // Instances on record that are not heard.
+	refreshDue        bool                              // The number of instances changed since the last refresh.
 	done              chan error
 }
 
@@ -213,11 +219,12 @@
 		sendingTo: map[string]int{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
 	}
 	c.view = newView()
+	c.apportioner, c.missingSince = apportioner.New(s.Instance), map[identifier.Instance]time.Time{}
 	c.ownership = custodian.New(now, custodian.Settings{
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.Capacity, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{LeaseDuration: min(grantLeaseDuration, s.MaxLeaseDuration), RenewInterval: grantRenewInterval, ConfirmationTimeout: confirmationTimeout},
 	}, c.logOwnershipEvent)
-	c.scheduler = scheduler.New(now, s.Zone, c)
+	c.scheduler = scheduler.New(now, s.Zone, c, c)
 	for _, seed := range s.Seeds {
 		c.ownership.Gossip.AddHint(seed)
 	}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -20,12 +20,15 @@
 	"github.com/turmericlift/turmericlift/transporter"
 )
 
-// member is the shared object by which instances find each other. Each instance writes its own.
+// member is the shared object by which instances find each other, and the record by which they count each other. Each
+// instance writes its own; the planner ends and removes those of instances that are gone.
 type member struct {
 	Instance    identifier.Instance
 	Incarnation identifier.Incarnation
 	Zone        identifier.Zone
 	Address     string
+	Settled     bool `json:",omitempty"` // See apportioner.Record.
+	Ended       bool `json:",omitempty"`
 }
 
 // decodeMember decodes a member object.
@@ -443,6 +446,8 @@
 	Copies        []mirrorer.Copy
 	Confirmations []gossiper.Confirmation
 	StoreUp       bool // Whether the platform's store answers the instance that sent the copies.
+	// ListedMsAgo is the age, in milliseconds, of the newest list of the shared objects among the copies; 0 if unknown.
+	ListedMsAgo int64
 }
 
 // HandleRequest implements transporter.Handler: it answers another instance's request for copies of
@@ -454,6 +459,11 @@
 		return nil
 	}
 	var answer copyAnswer
+	c.mu.Lock()
+	if listedAt := c.apportioner.ListedAt(); !listedAt.IsZero() { // Before the copies are made, which may be newer.
+		answer.ListedMsAgo = c.clock().Sub(listedAt).Milliseconds() + 1
+	}
+	c.mu.Unlock()
 	for kind, m := range c.mirrors {
 		copied, _ := m.Snapshot()
 		if kind == c.kinds.Shared {
@@ -589,4 +599,9 @@
 			c.log.WithFields(logrus.Fields{"Address": address, "Kind": copied.Kind, "Revision": copied.Revision}).Info("copy of another instance is applied")
 		}
 	}
+	if answer.ListedMsAgo > 0 {
+		c.mu.Lock()
+		c.apportioner.RecordListTime(askedAt.Add(-time.Duration(answer.ListedMsAgo) * time.Millisecond))
+		c.mu.Unlock()
+	}
 }
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -66,6 +66,9 @@
 		if balance {
 			balancedAt = now
 		}
+		if balance {
+			c.removeRecords(ctx)
+		}
 		c.plan(ctx, balance)
 	})
 }
@@ -177,7 +180,7 @@
 		}
 		c.scheduler.SetInformedAt(c.informedAt())
 		c.scope.Gauge("ViewAge").Update(c.viewAge(now).Seconds())
-		c.scope.Gauge("Sharers").Update(float64(c.sharers))
+		c.logSharers(now)
 		if c.scheduler.WaitingCount() > 0 {
 			c.scheduler.Tick(now)
 		}
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -228,7 +228,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	budget := c.retryBudgets[service]
-	return budget != nil && budget.AllowRetry(now, c.ownership.Gossip.Count(now), urgent)
+	return budget != nil && budget.AllowRetry(now, c.apportioner.Sharers(now), urgent)
 }
 
 // IsQuarantined implements forwarder.Core: it reports whether requests with a fingerprint are refused
@@ -324,7 +324,7 @@
 			line("  %s owner %s incarnation %d epoch %d moving %t", s.Range, s.Owner, s.Incarnation, s.Epoch, s.Moving)
 		}
 	}
-	line("Bounds shared by %d instances, changes of backend servers known up to %s ago", c.sharers, c.viewAge(now).Round(time.Millisecond))
+	line("Bounds shared by %d instances, changes of backend servers known up to %s ago", c.apportioner.Sharers(now), c.viewAge(now).Round(time.Millisecond))
 	running := c.scheduler.RunningByServer()
 	ids := make([]string, 0, len(c.view.entries))
 	for id := range c.view.entries {
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strings"
 
@@ -20,25 +19,6 @@
 	return mirrorer.Copy{Kind: kind, Revision: page.Revision, Objects: page.Objects}
 }
 
-// register writes this instance's member object unless the store has it already for this
-// incarnation.
-func (c *Conductor) register(ctx context.Context) {
-	name := memberPrefix + string(c.settings.Instance)
-	m := member{c.settings.Instance, c.settings.Incarnation, c.settings.Zone, c.settings.PeerAddress}
-	o, ok := c.mirrors[c.kinds.Shared].Get(name)
-	if ok {
-		if old, err := decodeMember(o.Data); err == nil && old == m {
-			return
-		}
-	}
-	data, err := json.Marshal(m)
-	if err != nil {
-		c.log.WithField("Error", err).Error("member object does not encode, this instance is not registered")
-		return
-	}
-	c.write(ctx, name, o.Version, data)
-}
-
 // write writes a shared object if its version in the store is still expected, applies the new version to the mirror and,
 // unless it is a member, announces it to the other instances.
 func (c *Conductor) write(ctx context.Context, name string, expected identifier.Version, data []byte) {
--- a/conductor/store_test.go
+++ b/conductor/store_test.go
@@ -27,6 +27,10 @@
 	return storer.Events{}, storer.ErrUnavailable
 }
 
+func (noStore) Delete(context.Context, storer.ObjectKind, string, identifier.Version) error {
+	return errors.New("no store")
+}
+
 func (noStore) Put(context.Context, storer.ObjectKind, string, identifier.Version, []byte) (identifier.Version, error) {
 	return 0, storer.ErrUnavailable
 }
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericlift/turmericlift/allocator"
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
@@ -44,7 +45,7 @@
 // seenMember is what a version of a member object says.
 type seenMember struct {
 	version identifier.Version
-	address string
+	member
 }
 
 // seenEntry records when an entry was seen to become cold or to leave.
@@ -235,6 +236,7 @@
 func (c *Conductor) readShared(now time.Time, objects []storer.Object, requestedAt time.Time) {
 	c.ownership.ApplyObjects(now, objects, requestedAt)
 	var members []string
+	var records []apportioner.Record
 	known := c.view.members
 	c.view.members = make(map[string]seenMember, len(known))
 	for _, o := range objects {
@@ -248,11 +250,15 @@
 				c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("member object does not decode, its address is not used")
 				continue
 			}
-			m = seenMember{o.Version, decoded.Address}
+			m = seenMember{o.Version, decoded}
 		}
 		c.view.members[o.Name] = m
-		members = append(members, m.address)
+		records = append(records, apportioner.Record{Instance: m.Instance, Settled: m.Settled, Ended: m.Ended})
+		if !m.Ended {
+			members = append(members, m.Address)
+		}
 	}
+	c.apportioner.RecordList(now, requestedAt, records)
 	sort.Strings(members)
 	c.ownership.Gossip.ReplaceHints(append(members, c.settings.Seeds...))
 }
@@ -332,12 +338,8 @@
 // pools to match it. The caller holds the lock.
 func (c *Conductor) refresh(now time.Time) {
 	c.refreshDue = false
-	count := c.ownership.Gossip.Count(now)
-	if count != c.sharers {
-		c.log.WithFields(logrus.Fields{"Sharers": count, "Before": c.sharers}).Info("number of instances that share bounds changed")
-		c.sharers = count
-	}
-	c.scheduler.SetInstanceCount(count)
+	// An instance that has no share still opens connections, within the share of those that it knows.
+	count := max(c.apportioner.Count(), c.ownership.Gossip.Count(now))
 	c.ownership.SetEnvironment(c.environment())
 	if c.view.table == nil {
 		return
@@ -384,14 +386,10 @@
 // candidate returns what the scheduler needs to know of a backend server. The caller holds the
 // lock.
 func (c *Conductor) candidate(now time.Time, e registrar.Entry) scheduler.Candidate {
-	found := scheduler.Candidate{
+	return scheduler.Candidate{
 		Entry: e, Excluded: c.excluded(e), OwnsUntil: c.ownsUntil(e), ColdUntil: c.coldUntil(e),
 		ColdRate: (c.view.table.Services[e.Service].ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldRateShare,
 	}
-	if now.Before(found.ColdUntil) {
-		found.ColdRank = c.ownership.Gossip.Rank(now, "cold "+string(e.ID))
-	}
-	return found
 }
 
 const (
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -22,7 +22,6 @@
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/quarantiner"
-	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -198,19 +197,6 @@
 // number of instances.
 const fullStates = 8
 
-// Rank returns how many of the instances that Count counts rank before this one for a task, by
-// rendezvous hashing.
-func (g *Gossiper) Rank(now time.Time, task string) int {
-	ownWeight := ranker.Weight(task, string(g.self.Instance))
-	before := 0
-	for _, p := range g.peers {
-		if now.Sub(p.HeardAt) < countFor && ranker.Weight(task, string(p.Instance)) > ownWeight {
-			before++
-		}
-	}
-	return before
-}
-
 // IntervalFactor returns the factor by which regular work of each instance is stretched in a larger
 // installation: one of that many states is full, and other regular work waits that many times
 // longer.
@@ -350,8 +336,9 @@
 	}
 }
 
-// Count returns the number of instances that may be serving now, this one included. It errs towards
-// too many: an instance that became unresponsive less than countFor ago still counts.
+// Count returns the number of instances that are known to be serving now, this one included. An instance that became
+// unresponsive less than countFor ago still counts. Bounds that must hold for all instances together are divided by
+// package apportioner instead, since other instances may know of more, or of others.
 func (g *Gossiper) Count(now time.Time) int {
 	n := 1
 	for _, p := range g.peers {
@@ -362,8 +349,7 @@
 	return n
 }
 
-// countFor is the time for which an unresponsive instance still counts when limits are divided
-// among instances.
+// countFor is the time for which an unresponsive instance still counts.
 const countFor = 10 * time.Second
 
 // ReconnectTargets returns the addresses of unresponsive instances whose connections should be dropped,
--- a/imitator/objects.go
+++ b/imitator/objects.go
@@ -115,19 +115,21 @@
 	return o, true, answerLost
 }
 
-// Delete removes an object. It does nothing if the object does not exist.
-func (s *ObjectStore) Delete(kind storer.ObjectKind, name string) {
+// Delete removes an object if its version is *expected; a nil expected means unconditionally. It returns the object and
+// whether it was removed; the object is zero if it does not exist.
+func (s *ObjectStore) Delete(kind storer.ObjectKind, name string, expected *identifier.Version) (present storer.Object, removed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
-	if !ok {
-		return
+	if !ok || expected != nil && o.Version != *expected {
+		return o, false
 	}
 	s.revision++
 	o.Version = s.revision
 	delete(s.objects[kind], name)
 	s.history = append(s.history, change{kind, storer.Event{Object: o, Deleted: true}})
 	s.wakeWatches()
+	return o, true
 }
 
 // Watch returns the changes of a kind after the revision from, in their order. If there are none it waits for one,
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -53,12 +53,16 @@
 const nonUrgentShare = 0.6
 
 // AllowRetry reports whether a retry is within this instance's share of the bound, and records it if so. instances is
-// the number of instances that share the bound; urgent retries may use all of the share, others nonUrgentShare of it.
+// the number of instances that share the extra retries, 0 if this instance may use none of them; urgent retries may use
+// all of the share, others nonUrgentShare of it.
 func (r *RetryBudget) AllowRetry(now time.Time, instances int, urgent bool) bool {
 	// A previous process of this instance may have used its share just before this one started, so the share grows
 	// from 0 over the first window.
 	age := min(float64(now.Sub(r.startedAt))/float64(r.requests.length), 1)
-	share := age * r.extraRetries / float64(max(instances, 1))
+	share := 0.0
+	if instances > 0 {
+		share = age * r.extraRetries / float64(instances)
+	}
 	allowed := budgetMargin * (r.retryRatio*float64(r.requests.Count(now)) + share)
 	if !urgent {
 		allowed *= nonUrgentShare
@@ -87,16 +91,11 @@
 // have become cold before this instance learns of it.
 func (c *Cold) RecordRequest(now time.Time) { c.sent.Add(now) }
 
-// MaySend reports whether another request is within this instance's share of perSecond, the requests a second that all
-// instances together may send. If there are more instances than requests a second, those with the lowest rank, which
-// counts from 0, may send one each. It does not record the request.
-func (c *Cold) MaySend(now time.Time, perSecond float64, instances, rank int) bool {
+// MaySend reports whether another request is within this instance's share, the requests a second that it may send. It
+// does not record the request.
+func (c *Cold) MaySend(now time.Time, share int) bool {
 	if now.Sub(c.startedAt) < coldWindow {
 		return false // A previous process of this instance may have sent its share just before.
 	}
-	share := int(perSecond / float64(max(instances, 1)))
-	if share == 0 && rank < int(perSecond) {
-		share = 1
-	}
 	return c.sent.Count(now) < share
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/limiter"
 )
 
@@ -62,7 +63,7 @@
 	var sent []time.Time
 	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(20 * time.Millisecond) {
 		for rank, c := range bounds {
-			if c.MaySend(now, perSecond, instances, rank) {
+			if c.MaySend(now, apportioner.Share{Sharers: instances, Rank: rank}.Of(perSecond)) {
 				c.RecordRequest(now)
 				sent = append(sent, now)
 			}
@@ -96,7 +97,7 @@
 			cold, retries = limiter.NewCold(started), limiter.NewRetryBudget(started, 10*time.Second, 0.2, 40)
 		}
 		retries.RecordRequest(now)
-		if cold.MaySend(now, perSecond, instances, 0) {
+		if cold.MaySend(now, perSecond/instances) {
 			cold.RecordRequest(now)
 			sent = append(sent, now)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"sort"
 	"time"
 
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/registrar"
@@ -124,7 +125,7 @@
 	pools     map[identifier.Service][]*server // Sorted by server ID.
 	queues    map[identifier.Service][]*PendingRequest
 	latency   map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
-	instances int
+	shares    Shares
 	// informedAt is the time up to which the instance knows all changes of backend servers and evacuations; zero if it
 	// is told of each change.
 	informedAt time.Time
@@ -136,19 +137,22 @@
 	silentAt    map[identifier.Service]time.Time // When a server of the service was silent last.
 }
 
+// Shares tells this instance's share of the bounds that hold for all instances together.
+type Shares interface {
+	// Share returns the share of the requests that may be sent to a backend server while it is cold.
+	Share(now time.Time, id identifier.BackendServer) apportioner.Share
+}
+
 // New returns a Scheduler for an instance in the given zone whose process starts now. It looks up the owners of keys in
-// owners.
-func New(now time.Time, zone identifier.Zone, owners Owners) *Scheduler {
+// owners, and its share of the request rates of cold servers in shares.
+func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares) *Scheduler {
 	return &Scheduler{
-		startedAt: now, zone: zone, owners: owners, servers: map[identifier.BackendServer]*server{},
+		startedAt: now, zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
-		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, instances: 1, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
+		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
 	}
 }
 
-// SetInstanceCount sets the number of instances that share the request rates of cold servers. It is 1 at first.
-func (s *Scheduler) SetInstanceCount(n int) { s.instances = n }
-
 // SetInformedAt sets the time up to which the instance knows all changes of backend servers and evacuations; zero if it
 // is told of each change.
 func (s *Scheduler) SetInformedAt(at time.Time) { s.informedAt = at }
@@ -392,7 +396,10 @@
 		wait = time.Duration(ahead[sv.entry.ID])*interval + max(sv.lastSentAt.Add(interval).Sub(now), 0)
 	}
 	if s.isCold(now, sv) {
-		wait = time.Duration(float64(ahead[sv.entry.ID]+1) / max(sv.coldRate/float64(s.instances), 0.5) * float64(time.Second))
+		wait = sv.coldUntil.Sub(now)
+		if share := s.coldShare(now, sv); share > 0 {
+			wait = min(wait, time.Duration(float64(ahead[sv.entry.ID]+1)/float64(share)*float64(time.Second)))
+		}
 	}
 	if s.missesDeadline(now, r, wait) {
 		in := s.inputs(now, sv)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/registrar"
@@ -18,6 +19,14 @@
 
 var start = time.Unix(1000, 0)
 
+// fixedShare is the same share of the bound of every server.
+type fixedShare struct{ share apportioner.Share }
+
+func (f fixedShare) Share(time.Time, identifier.BackendServer) apportioner.Share { return f.share }
+
+// equalShares returns the share of one of n instances.
+func equalShares(n int) fixedShare { return fixedShare{apportioner.Share{Sharers: n}} }
+
 // fixedOwner returns the same ownership for every key.
 type fixedOwner struct{ own registrar.Ownership }
 
@@ -126,7 +135,7 @@
 	case "nobody":
 		own = registrar.Ownership{}
 	}
-	p.s = scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own})
+	p.s = scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1))
 	p.s.SetServers(p.candidates)
 }
 
@@ -151,7 +160,7 @@
 // TestRefusalsSpread refuses 100 requests at the same time. If they all got the same retry time, their callers would
 // retry at the same time and be refused together again.
 func TestRefusalsSpread(t *testing.T) {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1))
 	seen := map[time.Duration]bool{}
 	for range 100 {
 		request := &scheduler.PendingRequest{Service: "s", Keyed: true, Arrived: start, Deadline: start.Add(time.Second), Decided: make(chan scheduler.Decision, 1)}
@@ -168,7 +177,7 @@
 // deadline.
 func TestBurst(t *testing.T) {
 	rng := rand.New(rand.NewSource(3))
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1))
 	s.SetServers([]scheduler.Candidate{candidate("x", "a", 4), candidate("y", "b", 4)})
 	type runningRequest struct {
 		server identifier.BackendServer
@@ -233,7 +242,7 @@
 	own := registrar.Ownership{Server: "x", Incarnation: 1, Ready: true}
 	var all []*scheduler.Scheduler
 	for range instances {
-		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own})
+		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1))
 		s.SetServers([]scheduler.Candidate{candidate("x", "a", slots)})
 		all = append(all, s)
 	}
@@ -308,8 +317,7 @@
 // TestColdBound sends requests for a cold server at a higher rate than it can run. This instance must not send more
 // than its share of the server's rate in any second.
 func TestColdBound(t *testing.T) {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{})
-	s.SetInstanceCount(2)
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(2))
 	c := candidate("x", "a", 50)
 	c.ColdUntil, c.ColdRate = start.Add(time.Hour), 16
 	s.SetServers([]scheduler.Candidate{c})
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -29,7 +29,6 @@
 	pausedUntil  time.Time // No request is sent before this time, after a refusal or a failure.
 	coldUntil    time.Time
 	coldRate     float64 // Requests a second that all instances together may send while the server is cold.
-	coldRank     int
 	cold         *limiter.Cold
 	sent         []sentRequest // Requests of this instance without an outcome, the oldest first.
 	probedAt     time.Time
@@ -44,9 +43,6 @@
 	OwnsUntil time.Time
 	ColdUntil time.Time // The server is cold until this time.
 	ColdRate  float64   // Requests a second that all instances together may send to the server while it is cold.
-	// ColdRank is the position of this instance among all instances, counted from 0. If the server can run fewer
-	// requests a second while it is cold than there are instances, those with the lowest positions send one each.
-	ColdRank int
 }
 
 // SetServers replaces the set of known backend servers. Estimates are kept for those that were known with the same
@@ -60,7 +56,7 @@
 			sv = &server{cold: limiter.NewCold(s.startedAt), latency: s.usualLatency(c.Service), serviceTime: s.usualLatency(c.Service), slowness: 1}
 		}
 		sv.entry, sv.excluded, sv.coldUntil, sv.coldRate = c.Entry, c.Excluded || !c.Usable(), c.ColdUntil, c.ColdRate
-		sv.ownsUntil, sv.coldRank = c.OwnsUntil, c.ColdRank
+		sv.ownsUntil = c.OwnsUntil
 		known[c.ID] = sv
 		s.pools[c.Service] = append(s.pools[c.Service], sv)
 	}
@@ -80,7 +76,7 @@
 
 // inputs returns the values that are logged with a decision on a server.
 func (s *Scheduler) inputs(now time.Time, sv *server) Inputs {
-	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv), Sharers: s.instances, ViewAge: s.viewAge(now)}
+	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv), Sharers: s.shares.Share(now, sv.entry.ID).Sharers, ViewAge: s.viewAge(now)}
 	if !sv.reportedAt.IsZero() {
 		in.LoadAge = now.Sub(sv.reportedAt)
 	}
@@ -89,6 +85,11 @@
 
 func (s *Scheduler) isCold(now time.Time, sv *server) bool { return now.Before(sv.coldUntil) }
 
+// coldShare returns the requests a second that this instance may send to a cold server.
+func (s *Scheduler) coldShare(now time.Time, sv *server) int {
+	return s.shares.Share(now, sv.entry.ID).Of(sv.coldRate)
+}
+
 // hasCapacity reports whether this instance may send one more request to a server that is below its request limit.
 func (s *Scheduler) hasCapacity(now time.Time, sv *server) bool {
 	return s.maySend(now, sv) && float64(sv.running)+sv.otherLoad(now) < sv.requestLimit(now)
@@ -97,7 +98,7 @@
 // maySend reports whether this instance may send to a server now, whatever its load: the server is not paused, and not
 // cold with this instance's share of its requests used up.
 func (s *Scheduler) maySend(now time.Time, sv *server) bool {
-	return !now.Before(sv.pausedUntil) && (!s.isCold(now, sv) || sv.cold.MaySend(now, sv.coldRate, s.instances, sv.coldRank))
+	return !now.Before(sv.pausedUntil) && (!s.isCold(now, sv) || sv.cold.MaySend(now, s.coldShare(now, sv)))
 }
 
 // mayAdmit reports whether this instance may send one more request to the owner of a key. No other server can run such
--- a/scheduler/stale_test.go
+++ b/scheduler/stale_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/scheduler"
 )
 
@@ -33,10 +34,9 @@
 func newFleet(size int) *fleet {
 	f := &fleet{}
 	for n := range size {
-		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{})
-		s.SetInstanceCount(size)
+		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, fixedShare{apportioner.Share{Sharers: size, Rank: n}})
 		c := candidate("s-1", "a", 2)
-		c.ColdRate, c.ColdRank = coldRate, n
+		c.ColdRate = coldRate
 		s.SetServers([]scheduler.Candidate{c})
 		f.schedulers = append(f.schedulers, s)
 	}
--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -112,9 +112,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.name != name {
-		b.env.objects.Delete(platform.KindServers, string(name))
+		b.env.objects.Delete(platform.KindServers, string(name), nil)
 	} else if b.incarnation == incarnation && b.down {
-		b.env.objects.Delete(platform.KindServers, string(name))
+		b.env.objects.Delete(platform.KindServers, string(name), nil)
 		b.listed = false
 	}
 }
@@ -132,7 +132,7 @@
 	if announced {
 		b.writeEntry()
 	} else {
-		b.env.objects.Delete(platform.KindServers, string(b.name))
+		b.env.objects.Delete(platform.KindServers, string(b.name), nil)
 		b.listed = false
 	}
 	b.leavingSince = time.Now()
@@ -142,7 +142,7 @@
 	b.down = true
 	name := b.name
 	b.mu.Unlock()
-	b.env.objects.Delete(platform.KindServers, string(name))
+	b.env.objects.Delete(platform.KindServers, string(name), nil)
 	return true
 }
 
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -194,7 +194,7 @@
 		env.objects.Put(platform.KindEvacuations, string(zone), nil, []byte("{}"))
 		env.evacuatedAt[zone] = now
 	} else {
-		env.objects.Delete(platform.KindEvacuations, string(zone))
+		env.objects.Delete(platform.KindEvacuations, string(zone), nil)
 		delete(env.evacuatedAt, zone)
 	}
 }
--- a/storer/kinds.go
+++ b/storer/kinds.go
@@ -46,6 +46,8 @@
 	Watch(base *sling.Sling, kind ObjectKind, from identifier.Version, wait time.Duration) *sling.Sling
 	// Put builds the call that replaces the object at version expected, or creates it if expected is 0.
 	Put(base *sling.Sling, kind ObjectKind, name string, expected identifier.Version, data []byte) *sling.Sling
+	// Delete builds the call that removes the object at version expected.
+	Delete(base *sling.Sling, kind ObjectKind, name string, expected identifier.Version) *sling.Sling
 	DecodePage(body []byte) (Page, error)
 	DecodeEvents(body []byte) (Events, error)
 	DecodeObject(body []byte) (Object, error)
@@ -123,26 +125,44 @@
 	if len(data) > MaxValueSize {
 		return 0, fmt.Errorf("write %s/%s: not sent, since the value has %d bytes and the limit is %d", kind, name, len(data), MaxValueSize)
 	}
-	call := k.dialect.Put(k.client.base.New(), kind, name, expected, data)
+	body, err := k.change(ctx, k.dialect.Put(k.client.base.New(), kind, name, expected, data), string(kind)+"/"+name, expected)
+	if err != nil {
+		return 0, fmt.Errorf("write %s/%s: %w", kind, name, err)
+	}
+	o, err := k.dialect.DecodeObject(body)
+	if err != nil {
+		return 0, fmt.Errorf("write %s/%s: %w: %w", kind, name, ErrOutcomeUnknown, err)
+	}
+	return o.Version, nil
+}
+
+// Delete removes an object if its version is the expected one. Its errors are those of Put; a ConflictError has the
+// version 0 if the object does not exist.
+func (k *KindClient) Delete(ctx context.Context, kind ObjectKind, name string, expected identifier.Version) error {
+	_, err := k.change(ctx, k.dialect.Delete(k.client.base.New(), kind, name, expected), string(kind)+"/"+name, expected)
+	if err != nil {
+		return fmt.Errorf("delete %s/%s: %w", kind, name, err)
+	}
+	return nil
+}
+
+// change makes a call that changes an object at version expected, and returns the body of its answer.
+func (k *KindClient) change(ctx context.Context, call *sling.Sling, object string, expected identifier.Version) ([]byte, error) {
 	status, _, body, err := k.client.do(ctx, call, k.client.timeout)
 	switch {
 	case errors.Is(err, ErrUnavailable):
-		return 0, fmt.Errorf("write %s/%s: %w: %w", kind, name, ErrOutcomeUnknown, err)
+		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	case err != nil:
-		return 0, fmt.Errorf("write %s/%s: %w", kind, name, err)
+		return nil, err
 	case status == http.StatusConflict, status == http.StatusNotFound:
 		present, _ := k.dialect.DecodeObject(body) // The version is 0 if the answer has no object.
-		return 0, &ConflictError{Name: string(kind) + "/" + name, Expected: expected, Present: present.Version}
+		return nil, &ConflictError{Name: object, Expected: expected, Present: present.Version}
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return 0, fmt.Errorf("write %s/%s: %w: HTTP status %d", kind, name, ErrUnavailable, status)
-	case status != http.StatusOK && status != http.StatusCreated:
-		return 0, fmt.Errorf("write %s/%s: %w: HTTP status %d", kind, name, ErrOutcomeUnknown, status)
+		return nil, fmt.Errorf("%w: HTTP status %d", ErrUnavailable, status)
+	case status < http.StatusOK || status >= http.StatusMultipleChoices:
+		return nil, fmt.Errorf("%w: HTTP status %d", ErrOutcomeUnknown, status)
 	}
-	o, err := k.dialect.DecodeObject(body)
-	if err != nil {
-		return 0, fmt.Errorf("write %s/%s: %w: %w", kind, name, ErrOutcomeUnknown, err)
-	}
-	return o.Version, nil
+	return body, nil
 }
 
 // call makes a call that reads, and returns the body of its answer. An answer with status 404 gives
