scheduler, conductor: an instance that is not told of changes treats servers as possibly cold

A cold backend server got more requests in a second than it bears; callers at it saw failures when it crashed.

Cause, hypothesis 2: an instance that the store does not answer and that gets no copies went on using what it knew, and a server counted as warm unless something said otherwise. The class is a default that is only safe while news arrives.

Now the view has an age. Once it is older than 1 s, or after a server could not be reached, the server is possibly cold: this instance sends it no more than its share of half the rate of a cold server, unless a health call of the last 250 ms showed it warm. The view is fresh while the store answers, while copies arrive from an instance that the store answers, and while all instances on record are heard and the store answers none. Copies are requested from live instances that the store answers, and at once where another one has newer objects and the store has been silent.

The answers to health calls give the time in milliseconds.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -176,6 +176,7 @@
 	sendingTo         map[string]int // By address, the number of messages that are being sent.
 	apportioner       *apportioner.Apportioner
 	sharers           int                               // The number of instances among which bounds are divided, as last logged.
+	viewWasStale      bool                              // As last logged.
 	missingSince      map[identifier.Instance]time.Time // Instances on record that are not heard.
 	refreshDue        bool                              // The number of instances changed since the last refresh.
 	done              chan error
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -427,6 +427,7 @@
 		if lag.Observe(now, s.NewestVersions[kind], m.Revision(), timeout) {
 			c.log.WithFields(logrus.Fields{"Kind": kind, "Peer": s.Instance, "Newest": s.NewestVersions[kind], "Revision": m.Revision()}).Info("watch delivered no event though another instance has newer objects, the kind is listed again")
 			m.Relist()
+			c.copyIfStoreIsSilent(now, s)
 		}
 	}
 }
@@ -522,7 +523,7 @@
 		c.mu.Lock()
 		ahead, behind := c.ownership.PeerWithNewerAllocation(now)
 		down := !c.view.storeDownAt.IsZero() || c.view.table == nil
-		targets := c.ownership.Gossip.Targets(now)
+		targets := c.copySources(now)
 		c.mu.Unlock()
 		switch {
 		case !behind:
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -178,14 +178,17 @@
 		if c.refreshDue {
 			c.refresh(now)
 		}
-		c.scheduler.SetInformedAt(c.informedAt())
+		c.updateFreshness(now)
 		c.scope.Gauge("ViewAge").Update(c.viewAge(now).Seconds())
 		c.logSharers(now)
 		if c.scheduler.WaitingCount() > 0 {
 			c.scheduler.Tick(now)
 		}
-		probes := c.scheduler.ProbesDue(now)
+		probes, healthCalls := c.scheduler.ProbesDue(now), c.scheduler.HealthCallsDue(now)
 		c.mu.Unlock()
+		for _, e := range healthCalls {
+			c.tasks.Go(func(ctx context.Context) { c.callHealth(ctx, e) })
+		}
 		for _, e := range probes {
 			c.tasks.Go(func(ctx context.Context) { c.probe(ctx, e) })
 		}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -387,7 +387,8 @@
 // lock.
 func (c *Conductor) candidate(now time.Time, e registrar.Entry) scheduler.Candidate {
 	return scheduler.Candidate{
-		Entry: e, Excluded: c.excluded(e), OwnsUntil: c.ownsUntil(e), ColdUntil: c.coldUntil(e),
+		ColdFor: c.view.table.Services[e.Service].ColdFor,
+		Entry:   e, Excluded: c.excluded(e), OwnsUntil: c.ownsUntil(e), ColdUntil: c.coldUntil(e),
 		ColdRate: (c.view.table.Services[e.Service].ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack) * coldRateShare,
 	}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -85,7 +85,8 @@
 	errForeignTooLarge = errors.New("body of an answer to another request is larger than 1 MiB")
 	errTooManyForeign  = errors.New("too many answers to other requests on the connection")
 	errNoLength        = errors.New("answer to another request has no length, so its end is unknown")
-	errNoConnection    = errors.New("connection limit reached or pool closed")
+	// ErrNoConnection is the cause of an UnsentError if the pool has as many connections as it may, or is closed.
+	ErrNoConnection = errors.New("connection limit reached or pool closed")
 )
 
 const (
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -288,7 +288,7 @@
 	p.mu.Lock()
 	if p.closed || p.open >= p.limit {
 		p.mu.Unlock()
-		return nil, errNoConnection
+		return nil, ErrNoConnection
 	}
 	p.open++
 	p.dials++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 // HeaderNames are the names of the headers that a platform uses in requests and answers.
 type HeaderNames struct {
 	RequestID, TimeLeft, ExpectServer, Server, NotExecuted, Seal, Load, Key string
+	ColdRemaining                                                           string // In answers to health calls only.
 }
 
 // Core decides where requests are sent, sends them, and records their outcomes. Its methods are called concurrently.
@@ -211,9 +212,13 @@
 		f.names.ReadLoad(answer.Header, &report)
 		return f.checkAnswer(req, e, answer, report)
 	case errors.As(err, &unsent):
-		report.Outcome = scheduler.Unreachable
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			report.Outcome = scheduler.Cancelled
+		case errors.Is(err, exchanger.ErrNoConnection):
+			report.Outcome = scheduler.NoConnection
+		default:
+			report.Outcome = scheduler.Unreachable
 		}
 		f.core.RecordOutcome(e, report)
 		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Info("request could not be sent to the backend server")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,8 +3,8 @@
 // of each backend server. The package does no I/O and reads no clock: callers pass the current time.
 //
 // Start with scheduler.go, which has the queues and the decisions; server.go has what is known of each backend server:
-// its estimated load, its request limit and the pace at which requests are sent to it. silence.go finds requests that a
-// server will never answer.
+// its estimated load, its request limit and the pace at which requests are sent to it. doubt.go has what is done about
+// servers that may be cold without this instance knowing. silence.go finds requests that a server will never answer.
 package scheduler
 
 import (
@@ -135,6 +135,7 @@
 	sends       Send   // Requests assigned so far.
 	silent      []Send
 	silentAt    map[identifier.Service]time.Time // When a server of the service was silent last.
+	doubted     []*server                        // Servers to which a health call is wanted.
 }
 
 // Shares tells this instance's share of the bounds that hold for all instances together.
@@ -198,11 +199,12 @@
 
 // The outcomes of requests.
 const (
-	Answered    Outcome = iota
-	Shed                // The server refused the request without running it.
-	Unreachable         // The request could not be sent.
-	Broken              // The request was sent, and the connection broke before the answer.
-	Cancelled           // The caller left or the deadline passed, or the outcome says nothing about the server.
+	Answered     Outcome = iota
+	Shed                 // The server refused the request without running it.
+	Unreachable          // The request could not be sent.
+	NoConnection         // The request was not sent, since this instance has as many connections to the server as it may.
+	Broken               // The request was sent, and the connection broke before the answer.
+	Cancelled            // The caller left or the deadline passed, or the outcome says nothing about the server.
 )
 
 // Report describes the end of a request and the load that the server reported with its answer.
@@ -233,6 +235,7 @@
 	}
 	sv.running--
 	sv.recordEnd(r.Send)
+	sv.doubt.recordReach(now, r.Outcome)
 	switch r.Outcome {
 	case Answered:
 		ms := float64(r.Latency.Microseconds()) / 1000
@@ -243,7 +246,7 @@
 		s.latency[sv.entry.Service] = usual + smoothing/4*(ms-usual)
 	case Shed:
 		sv.pausedUntil = now.Add(shedPause)
-	case Unreachable:
+	case Unreachable, NoConnection:
 		sv.pausedUntil = now.Add(unreachablePause)
 	case Broken, Cancelled:
 	}
@@ -390,13 +393,16 @@
 	if ahead[sv.entry.ID] == 0 && s.mayAdmit(now, sv) {
 		return s.assign(now, sv), true
 	}
+	if s.needsHealthCall(now, sv) {
+		s.wantHealthCall(sv)
+	}
 	capacity := max(sv.requestLimit(now)-sv.otherLoad(now), 1)
 	wait := time.Duration(float64(ahead[sv.entry.ID]+1) / capacity * sv.latency * float64(time.Millisecond) / 2)
 	if interval, paced := sv.pacingInterval(now); paced {
 		wait = time.Duration(ahead[sv.entry.ID])*interval + max(sv.lastSentAt.Add(interval).Sub(now), 0)
 	}
 	if s.isCold(now, sv) {
-		wait = sv.coldUntil.Sub(now)
+		wait = max(sv.coldUntil.Sub(now), sv.doubt.coldUntil.Sub(now))
 		if share := s.coldShare(now, sv); share > 0 {
 			wait = min(wait, time.Duration(float64(ahead[sv.entry.ID]+1)/float64(share)*float64(time.Second)))
 		}
@@ -420,8 +426,8 @@
 // those that have capacity. ahead is the number of requests that stay in the queue before this one; a request that
 // stays is added to it, and false is returned.
 func (s *Scheduler) decidePooled(now time.Time, r *PendingRequest, ahead *int) (Decision, bool) {
-	var best *server
-	lowest := math.Inf(1)
+	var best, doubtful *server
+	lowest, lowestDoubtful := math.Inf(1), math.Inf(1)
 	capacity, usable := 0.0, 0
 	for _, sv := range s.pools[r.Service] {
 		if sv.excluded || r.Tried[sv.entry.ID] {
@@ -430,6 +436,9 @@
 		usable++
 		capacity += max(sv.requestLimit(now)-sv.otherLoad(now), 0.5)
 		if !s.hasCapacity(now, sv) {
+			if c := s.cost(now, sv); c < lowestDoubtful && s.needsHealthCall(now, sv) {
+				doubtful, lowestDoubtful = sv, c
+			}
 			continue
 		}
 		if c := s.cost(now, sv); c < lowest {
@@ -442,6 +451,9 @@
 	case best != nil:
 		return s.assign(now, best), true
 	}
+	if doubtful != nil {
+		s.wantHealthCall(doubtful)
+	}
 	wait := time.Duration(float64(*ahead+1) / max(capacity, 1) * s.usualLatency(r.Service) * float64(time.Millisecond))
 	if s.missesDeadline(now, r, wait) {
 		return s.refuse(QueueTooLong, wait, Inputs{Ahead: *ahead, ExpectedWait: wait}), true
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -29,7 +29,9 @@
 	pausedUntil  time.Time // No request is sent before this time, after a refusal or a failure.
 	coldUntil    time.Time
 	coldRate     float64 // Requests a second that all instances together may send while the server is cold.
+	coldFor      time.Duration
 	cold         *limiter.Cold
+	doubt        doubt
 	sent         []sentRequest // Requests of this instance without an outcome, the oldest first.
 	probedAt     time.Time
 }
@@ -41,8 +43,9 @@
 	// OwnsUntil is the time until which an excluded server still gets requests for keys that it owns: no other server
 	// can run them until the keys have moved.
 	OwnsUntil time.Time
-	ColdUntil time.Time // The server is cold until this time.
-	ColdRate  float64   // Requests a second that all instances together may send to the server while it is cold.
+	ColdUntil time.Time     // The server is cold until this time.
+	ColdRate  float64       // Requests a second that all instances together may send to the server while it is cold.
+	ColdFor   time.Duration // How long a server of the service is cold after its start; 0 if it never is.
 }
 
 // SetServers replaces the set of known backend servers. Estimates are kept for those that were known with the same
@@ -56,7 +59,7 @@
 			sv = &server{cold: limiter.NewCold(s.startedAt), latency: s.usualLatency(c.Service), serviceTime: s.usualLatency(c.Service), slowness: 1}
 		}
 		sv.entry, sv.excluded, sv.coldUntil, sv.coldRate = c.Entry, c.Excluded || !c.Usable(), c.ColdUntil, c.ColdRate
-		sv.ownsUntil = c.OwnsUntil
+		sv.ownsUntil, sv.coldFor = c.OwnsUntil, c.ColdFor
 		known[c.ID] = sv
 		s.pools[c.Service] = append(s.pools[c.Service], sv)
 	}
@@ -83,7 +86,10 @@
 	return in
 }
 
-func (s *Scheduler) isCold(now time.Time, sv *server) bool { return now.Before(sv.coldUntil) }
+// isCold reports whether a server is cold by its entry, or by what it said in answer to a health call.
+func (s *Scheduler) isCold(now time.Time, sv *server) bool {
+	return now.Before(sv.coldUntil) || now.Before(sv.doubt.coldUntil)
+}
 
 // coldShare returns the requests a second that this instance may send to a cold server.
 func (s *Scheduler) coldShare(now time.Time, sv *server) int {
@@ -96,9 +102,21 @@
 }
 
 // maySend reports whether this instance may send to a server now, whatever its load: the server is not paused, and not
-// cold with this instance's share of its requests used up.
+// cold, or possibly cold, with this instance's share of its requests used up.
 func (s *Scheduler) maySend(now time.Time, sv *server) bool {
-	return !now.Before(sv.pausedUntil) && (!s.isCold(now, sv) || sv.cold.MaySend(now, s.coldShare(now, sv)))
+	return !now.Before(sv.pausedUntil) && s.isWithinRate(now, sv)
+}
+
+// isWithinRate reports whether another request to a server is within this instance's share of the rate that the server
+// bears if it is cold or possibly cold.
+func (s *Scheduler) isWithinRate(now time.Time, sv *server) bool {
+	switch {
+	case s.isCold(now, sv):
+		return sv.cold.MaySend(now, s.coldShare(now, sv))
+	case s.isDoubtful(now, sv):
+		return sv.cold.MaySend(now, s.doubtfulShare(now, sv))
+	}
+	return true
 }
 
 // mayAdmit reports whether this instance may send one more request to the owner of a key. No other server can run such
