forwarder, exchanger, conductor: a refusal counts as such only if it names its request

Found, after a report of another operator: a refusal without a request's ID counted for whatever request was under way on the connection; the statuses 408, 429 and 503 of a backend server were passed on although they lacked the header that says that the request has not run; and orders and health calls, which have no ID, took a late second copy of an earlier answer for their own, so that a grant or a release could count as carried out. A second attempt could reach a connection that had carried the first one more than four requests before.

Now such a refusal says nothing: a request that is not idempotent ends with 502. Answers that name a request never answer an order. A connection keeps the last 16 IDs.

TestStatus (five cases), TestSecondCopyBeforeOrder and TestRepeatedRefusal failed before. TestCutHead cuts the head of an answer at each byte, by a close and by a reset, for four framings: no fault was found.

--- a/conductor/freshness.go
+++ b/conductor/freshness.go
@@ -112,7 +112,7 @@
 	defer cancel()
 	names := c.codec.HeaderNames
 	askedAt := c.clock()
-	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: e.Address, Header: http.Header{names.ExpectServer: {string(e.ID)}}})
+	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: e.Address, IDHeader: names.RequestID, Header: http.Header{names.ExpectServer: {string(e.ID)}}})
 	a.Close()
 	fields := logrus.Fields{"Server": e.ID, "Service": e.Service, "EntryVersion": e.Version, "Status": a.Status}
 	if err != nil {
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r := &exchanger.Request{
-		Method: http.MethodPost, Target: path, Host: key.address, Body: body,
+		Method: http.MethodPost, Target: path, Host: key.address, Body: body, IDHeader: c.codec.HeaderNames.RequestID,
 		Header: http.Header{"Content-Type": {"application/json"}, c.codec.HeaderNames.ExpectServer: {string(o.Server)}},
 	}
 	var a exchanger.Answer
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: key.address, Header: http.Header{c.codec.HeaderNames.ExpectServer: {string(e.ID)}}})
+	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: key.address, IDHeader: c.codec.HeaderNames.RequestID, Header: http.Header{c.codec.HeaderNames.ExpectServer: {string(e.ID)}}})
 	a.Close()
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"Server": e.ID, "Error": err}).Debug("health path was not answered, requests at the server go on waiting")
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -27,8 +27,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the ID of the request. An answer whose header IDHeader has another ID belongs to another request; an answer
-	// without this header, or any answer if ID is empty, is accepted.
+	// ID is the ID of the request; empty if it has none. An answer whose header IDHeader has another ID belongs to another
+	// request; an answer without this header is accepted.
 	IDHeader, ID string
 }
 
@@ -122,7 +122,7 @@
 }
 
 // recentRequests is the number of requests of a connection whose IDs are kept.
-const recentRequests = 4
+const recentRequests = 16
 
 // mayCarry reports whether a request with an ID can be sent over the connection: a request that was sent over it before
 // could get the late second answer to the first attempt.
@@ -227,7 +227,7 @@
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
-		isForeign := r.ID != "" && id != "" && id != r.ID
+		isForeign := id != "" && id != r.ID
 		if isForeign && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return Answer{}, true, errNoLength
 		}
--- a/exchanger/large_test.go
+++ b/exchanger/large_test.go
@@ -224,3 +224,70 @@
 		t.Errorf("%d connections opened, want 2: one for the first attempt and the other request, one for the second attempt", made)
 	}
 }
+
+// TestSecondCopyBeforeOrder guards against an order or a health call, which have no ID, that takes a late second copy of the
+// answer to an earlier request on the connection for its own: a grant or release would count as carried out.
+func TestSecondCopyBeforeOrder(t *testing.T) {
+	t.Parallel()
+	first := answer("a", "first")
+	p := exchanger.NewPool(startScriptedServer(t, first, first+"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", answer("b", "last")), 4, time.Now)
+	defer p.Close()
+	if _, err := p.Do(context.Background(), request("a")); err != nil {
+		t.Fatal(err)
+	}
+	order := &exchanger.Request{Method: "POST", Target: "/order", Host: "h", IDHeader: "Id"}
+	if a, err := p.Do(context.Background(), order); err != nil || a.Status != 409 {
+		t.Errorf("order behind the second copy: status %d, %v; want 409", a.Status, err)
+	}
+	if a, err := p.Do(context.Background(), request("b")); err != nil || string(a.Body) != "last" {
+		t.Errorf("next request: answer %q, %v; want \"last\"", a.Body, err)
+	}
+}
+
+// TestRepeatedRefusal guards against an earlier refusal that a faulty server writes once more on a kept connection, and that
+// is taken for the answer to a later request, or to a later attempt of the same request, which runs.
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	refused := func(id string) string { return "HTTP/1.1 503 Full\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n" }
+	scripts := []string{refused("x")}
+	for n := range 8 {
+		scripts = append(scripts, refused("x")+answer(string(rune('a'+n)), "ran"))
+	}
+	scripts = append(scripts, answer("x", "ran"))
+	p := exchanger.NewPool(startScriptedServer(t, scripts...), 4, time.Now)
+	defer p.Close()
+	if a, err := p.Do(context.Background(), request("x")); err != nil || a.Status != 503 {
+		t.Fatalf("first attempt: %d, %v; want 503", a.Status, err)
+	}
+	for n := range 8 {
+		if a, err := p.Do(context.Background(), request(string(rune('a'+n)))); err != nil || string(a.Body) != "ran" {
+			t.Errorf("request %d behind a copy of the refusal: status %d, %v; want its own answer", n, a.Status, err)
+		}
+	}
+	if a, err := p.Do(context.Background(), request("x")); err != nil || string(a.Body) != "ran" {
+		t.Errorf("second attempt: status %d, %v; want its own answer", a.Status, err)
+	}
+	if _, made := p.ConnectionCounts(); made != 2 {
+		t.Errorf("%d connections opened, want 2: the second attempt needs one of its own", made)
+	}
+}
+
+// TestCutHead guards against an answer whose head breaks off, at any byte, and that is returned as a whole answer with an
+// empty or short body.
+func TestCutHead(t *testing.T) {
+	t.Parallel()
+	for name, framing := range map[string]string{"Length": "Content-Length: 1500\r\n", "Chunked": "Transfer-Encoding: chunked\r\n", "None": "", "Close": "Connection: close\r\n"} {
+		head := "HTTP/1.1 200 OK\r\nId: a\r\n" + framing + "Seal: s\r\n\r\n"
+		for _, end := range []string{"|CLOSE", "|RESET"} {
+			for cut := range len(head) {
+				p := exchanger.NewPool(startScriptedServer(t, head[:cut]+end), 1, time.Now)
+				a, err := p.Do(context.Background(), request("a"))
+				var broken *exchanger.BrokenError
+				if !errors.As(err, &broken) {
+					t.Errorf("%s, head cut at byte %d of %d%s: status %d, error %v; want a BrokenError", name, cut, len(head), end, a.Status, err)
+				}
+				p.Close()
+			}
+		}
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -259,10 +259,17 @@
 // checkAnswer decides whether an answer of a backend server is passed on to the caller. It returns nil if the request
 // must be sent again instead.
 func (f *Forwarder) checkAnswer(req *activeRequest, e registrar.Entry, a exchanger.Answer, report scheduler.Report) *result {
-	notRun := a.Header.Get(f.names.NotExecuted) != "" || a.Status == http.StatusMisdirectedRequest
+	refusal := a.Header.Get(f.names.NotExecuted) != "" || a.Status == http.StatusMisdirectedRequest
+	// A refusal that names no request may be the second copy of an earlier one on the connection.
+	notRun := refusal && (req.id == "" || a.Header.Get(f.names.RequestID) == req.id)
 	if !notRun {
 		report.Outcome = scheduler.Answered
 		f.core.RecordOutcome(e, report)
+		if refusal || promisesNotRun(a.Status) {
+			a.Close()
+			f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status, "Refusal": refusal}).Info("answer of the backend server does not prove that the request has not run")
+			return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the backend server's answer does not prove that the request has not run"})
+		}
 		if a.Header.Get("Content-Encoding") != "" || a.Status < 300 && a.Header.Get(f.names.Seal) == "" {
 			a.Close()
 			return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer did not come unchanged from the backend server"})
@@ -296,6 +303,16 @@
 	return nil
 }
 
+// promisesNotRun reports whether a status tells a caller that its request has not run. A backend server may send one of them
+// for a request that it has run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // notRun completes the result of a request whose last attempt did not run. The status 503 says that no attempt has run;
 // it is 502 if an earlier attempt may have run.
 func (req *activeRequest) notRun(res *result) *result {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -73,11 +73,19 @@
 		<-ctx.Done()
 		return exchanger.Answer{}, &exchanger.BrokenError{Err: ctx.Err()}
 	case "shed":
-		return exchanger.Answer{Status: 503, Header: http.Header{"Not-Run": {"1"}}}, nil
+		return exchanger.Answer{Status: 503, Header: http.Header{"Id": {r.ID}, "Not-Run": {"1"}}}, nil
 	case "misdirected":
-		return exchanger.Answer{Status: 421, Header: http.Header{}}, nil
+		return exchanger.Answer{Status: 421, Header: http.Header{"Id": {r.ID}}}, nil
 	case "replaced":
-		return exchanger.Answer{Status: 421, Header: http.Header{"Server": {"other"}}}, nil
+		return exchanger.Answer{Status: 421, Header: http.Header{"Id": {r.ID}, "Server": {"other"}}}, nil
+	case "shed-unnamed":
+		return exchanger.Answer{Status: 503, Header: http.Header{"Not-Run": {"1"}}}, nil
+	case "misdirected-unnamed":
+		return exchanger.Answer{Status: 421, Header: http.Header{}}, nil
+	case "shed-unproved":
+		return exchanger.Answer{Status: 503, Header: h}, nil
+	case "busy-unproved":
+		return exchanger.Answer{Status: 429, Header: h}, nil
 	case "failed":
 		return exchanger.Answer{Status: 500, Header: h, Body: []byte("failed")}, nil
 	case "encoded":
@@ -149,6 +157,12 @@
 		"WriteShedThenBroken":         {"/write/a", []string{"shed", "broken", "ok"}, 502, 2},
 		"WriteShedThenNoRoom":         {"/write/a", []string{"shed"}, 503, 1},
 		"WriteFailed":                 {"/write/a", []string{"failed", "ok"}, 500, 1},
+		// Answers that would tell a caller that its request has not run, without proof.
+		"ReadShedUnnamed":             {"/read/a", []string{"shed-unnamed", "ok"}, 200, 2},
+		"WriteShedUnnamed":            {"/write/a", []string{"shed-unnamed", "ok"}, 502, 1},
+		"WriteShedUnproved":           {"/write/a", []string{"shed-unproved", "ok"}, 502, 1},
+		"WriteBusyUnproved":           {"/write/a", []string{"busy-unproved", "ok"}, 502, 1},
+		"KeyedMisdirectedUnnamed":     {"/keyed/a", []string{"misdirected-unnamed", "ok"}, 502, 1},
 		"KeyedMisdirected":            {"/keyed/a", []string{"misdirected", "ok"}, 200, 2},
 		"KeyedMisdirectedTooOften":    {"/keyed/a", []string{"misdirected", "misdirected", "misdirected", "ok"}, 503, 3},
 		"KeyedMisdirectedThenNoOwner": {"/keyed/a", []string{"misdirected"}, 503, 1},
