--- a/operator/instances.go
+++ b/operator/instances.go
@@ -249,7 +249,7 @@
 		}
 	}
 	var rows [][]string
-	for _, l := range list {
+	for _, l := range list.Instances {
 		if l.Zone == z && l.Kind == storer.KindBackendServer {
 			rows = append(rows, []string{l.ID, string(l.Organisation) + "/" + string(l.Service), fmt.Sprint(owned[l.ID])})
 		}
--- a/runner/actions.go
+++ b/runner/actions.go
@@ -163,6 +163,7 @@
 // pollInstanceList reads the platform's list of instances until ctx ends and submits it.
 func (r *Runner) pollInstanceList(ctx context.Context) {
 	backoff := backoff{}
+	unreadable := 0
 	for ctx.Err() == nil {
 		r.scope.Counter("PlatformReads").Inc(1)
 		list, err := r.store.Instances(ctx)
@@ -171,7 +172,11 @@
 			continue
 		}
 		backoff.reset()
-		r.submit(ctx, controller.ListRead{Listed: list})
+		if n := len(list.Unreadable); n != unreadable {
+			unreadable = n
+			r.logs.Platform.WithError(errors.Join(list.Unreadable...)).WithField("Items", n).Warn("InstanceListPartlyUnreadable")
+		}
+		r.submit(ctx, controller.ListRead{Listed: list.Instances})
 		r.awaitListRead(ctx)
 	}
 }
--- a/sender/copy_test.go
+++ b/sender/copy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/turmericlift/turmericlift/answerer"
@@ -93,3 +94,72 @@
 		t.Errorf("the server sent %d bytes before the connection was closed, want at most 8 MiB", n)
 	}
 }
+
+// TestRepeatedRefusal guards against an earlier refusal that a faulty server writes once more on a kept connection, and that
+// is taken for the answer to a second attempt of the same request, which runs: its caller would be told that it has not run.
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	seen := map[string]bool{} // Requests that were refused: each is refused once, then it runs.
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		earlier := ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			id := r.Header.Get(HeaderRequestID)
+			text := "HTTP/1.1 503 No\r\n" + HeaderRequestID + ": " + id + "\r\n" + HeaderRefused + ": Shed\r\nContent-Length: 0\r\n\r\n"
+			mu.Lock()
+			if seen[id] {
+				text = earlier + "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + id + "\r\nContent-Length: 3\r\n\r\nran"
+			} else {
+				earlier = text
+			}
+			seen[id] = true
+			mu.Unlock()
+			_, _ = conn.Write([]byte(text))
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	s := New(1)
+	r := answerer.Request{Method: http.MethodPost, Path: "/", ID: "x"}
+	if got := s.SendRequest(context.Background(), l.Addr().String(), r, Fencing{}, 100); got.Outcome != answerer.NotRun {
+		t.Fatalf("first attempt: %s, want NotRun", got.Outcome)
+	}
+	if got := s.SendRequest(context.Background(), l.Addr().String(), r, Fencing{}, 100); got.Outcome != answerer.Ran {
+		t.Errorf("second attempt, which ran: %s, want Ran", got.Outcome)
+	}
+}
+
+// TestCutHead guards against an answer whose head breaks off, at any byte, and that counts as a whole answer.
+func TestCutHead(t *testing.T) {
+	t.Parallel()
+	for _, framing := range []string{"Content-Length: 1500\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": id\r\n" + framing + "X: 1\r\n\r\n"
+		for cut := 1; cut < len(head); cut++ {
+			got := New(1).SendRequest(context.Background(), rawServer(t, head[:cut]), answerer.Request{Method: http.MethodPost, Path: "/", ID: "id"}, Fencing{}, 1<<20)
+			if got.Outcome != answerer.Unknown {
+				t.Errorf("head cut at byte %d of %q: %s with status %d, want Unknown", cut, head, got.Outcome, got.Status)
+			}
+		}
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -70,6 +70,10 @@
 type Sender struct {
 	requests http.RoundTripper
 	orders   http.RoundTripper
+	// again carries requests that a server has refused before, each over a connection of its own: on one that carried the
+	// earlier attempt, a late second copy of the refusal could be taken for the answer.
+	again   http.RoundTripper
+	refused refusals
 }
 
 // New returns a Sender that keeps at most connections open to each backend server for requests, and at
@@ -77,6 +81,7 @@
 func New(connections int) *Sender {
 	return &Sender{
 		requests: &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
+		again:    &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		orders:   &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
 	}
 }
@@ -131,7 +136,11 @@
 	if err != nil {
 		return answerer.Refuse(answerer.CodeBadRequest, err.Error())
 	}
-	resp, err := s.requests.RoundTrip(req)
+	transport := s.requests
+	if s.refused.has(r.ID) {
+		transport = s.again
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return answerToError(ctx, err, gotConnection.Load())
 	}
@@ -141,6 +150,7 @@
 		return answerer.Indeterminate(answerer.CodeBackendBroke, "the backend server's answer belongs to another request")
 	}
 	if refused := resp.Header.Get(HeaderRefused); refused != "" {
+		s.refused.add(r.ID)
 		return answerToRefusal(refused)
 	}
 	return readAnswer(resp, maxBody)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -153,7 +153,8 @@
 		}
 		_, _ = http.ReadRequest(bufio.NewReader(conn))
 		if answer == "" {
-			return // The connection stays open without an answer.
+			t.Cleanup(func() { _ = conn.Close() }) // Without a reference, the garbage collector would close the connection.
+			return
 		}
 		_, _ = conn.Write([]byte(answer))
 		_ = conn.Close()
--- a/storer/client.go
+++ b/storer/client.go
@@ -106,24 +106,48 @@
 		WaitMs int64  `url:"WaitMs"`
 	}{prefix, uint64(from), wait.Milliseconds()}
 	var result WatchResult
-	err := c.getJSON(ctx, c.base.New().Get("v1/watch").QueryStruct(query), wait+c.timeout, &result)
+	err := c.getJSON(ctx, c.base.New().Get("v1/watch").QueryStruct(query), wait+c.timeout, objectLevel, &result)
 	if err != nil {
 		return WatchResult{}, fmt.Errorf("watch %s from %d: %w", prefix, from, err)
 	}
 	return result, nil
 }
 
+var errNoInstance = errors.New("it does not describe an instance")
+
+// InstanceList is the platform's list of live and leaving instances.
+type InstanceList struct {
+	Instances  []ListedInstance
+	Unreadable []error // One for each item that does not decode; such an item names no instance.
+}
+
+// The levels at which an object and an instance stand in answers, for DropNested.
+const (
+	objectLevel   = 3
+	instanceLevel = 2
+)
+
 // Instances returns the platform's list of live and leaving instances. Its errors are those of Watch.
-func (c *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
-	var list []ListedInstance
-	if err := c.getJSON(ctx, c.base.New().Get("v1/instances"), c.timeout, &list); err != nil {
-		return nil, fmt.Errorf("list instances: %w", err)
+func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
+	var items []json.RawMessage
+	if err := c.getJSON(ctx, c.base.New().Get("v1/instances"), c.timeout, instanceLevel, &items); err != nil {
+		return InstanceList{}, fmt.Errorf("list instances: %w", err)
+	}
+	var list InstanceList
+	for n, item := range items {
+		var i ListedInstance
+		if err := json.Unmarshal(item, &i); err != nil || i.ID == "" {
+			list.Unreadable = append(list.Unreadable, fmt.Errorf("item %d of the list of instances, ID %q: %w", n, i.ID, errors.Join(errNoInstance, err)))
+			continue
+		}
+		list.Instances = append(list.Instances, i)
 	}
 	return list, nil
 }
 
-// getJSON makes a call and decodes its answer from JSON into the value that into points to.
-func (c *Client) getJSON(ctx context.Context, call *sling.Sling, timeout time.Duration, into any) error {
+// getJSON makes a call and decodes its answer from JSON into the value that into points to. Items of the answer, which
+// stand at itemLevel, are null if they are nested too deeply.
+func (c *Client) getJSON(ctx context.Context, call *sling.Sling, timeout time.Duration, itemLevel int, into any) error {
 	status, _, data, err := c.do(ctx, call, timeout)
 	if err != nil {
 		return err
@@ -131,7 +155,7 @@
 	if status != http.StatusOK {
 		return fmt.Errorf("%w: HTTP status %d, want 200", ErrUnavailable, status)
 	}
-	if err := json.Unmarshal(data, into); err != nil {
+	if err := json.Unmarshal(DropNested(data, itemLevel), into); err != nil {
 		return fmt.Errorf("%w: JSON answer does not decode: %w", ErrUnavailable, err)
 	}
 	return nil
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -147,11 +149,11 @@
 	f.platform.PutInstance(storer.ListedInstance{ID: "a", Kind: storer.KindEntry, State: storer.StateLive})
 	f.platform.SetFaults(imitator.PlatformFaults{FreezeList: true})
 	f.platform.DeleteInstance("a")
-	if list, err := f.client.Instances(ctx); err != nil || len(list) != 1 {
+	if list, err := f.client.Instances(ctx); err != nil || len(list.Instances) != 1 {
 		t.Errorf("frozen list: %v, error %v; want 1 instance", list, err)
 	}
 	f.platform.SetFaults(imitator.PlatformFaults{})
-	if list, err := f.client.Instances(ctx); err != nil || len(list) != 0 {
+	if list, err := f.client.Instances(ctx); err != nil || len(list.Instances) != 0 {
 		t.Errorf("list without the fault: %v, error %v; want no instance", list, err)
 	}
 }
@@ -181,3 +183,26 @@
 		t.Errorf("the platform sent %d bytes before the connection was closed, want at most 64 MiB", n)
 	}
 }
+
+// TestOddInstances guards against a single odd item that makes the platform's whole list of instances unreadable: nested very
+// deeply, with a value of another type or out of range, or no object at all.
+func TestOddInstances(t *testing.T) {
+	t.Parallel()
+	for name, item := range map[string]string{
+		"Deep":      `{"ID":"odd","X":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+		"WrongType": `{"ID":7}`, "NumberTooLarge": `{"ID":"odd","Zone":1e999}`, "Null": `null`, "Number": `1e999`, "NoID": `{"Kind":"Entry"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `[`+item+`,{"ID":"good","Kind":"Entry","State":"Live","Zone":"a","Address":"10.0.0.1:80"}]`)
+			}))
+			defer server.Close()
+			client := storer.New(server.URL, &http.Client{}, storer.Budget{CallsPerSecond: 1000, Burst: 1000}, time.Second)
+			list, err := client.Instances(context.Background())
+			if err != nil || len(list.Instances) != 1 || list.Instances[0].ID != "good" || len(list.Unreadable) != 1 {
+				t.Errorf("list %+v, unreadable %d, error %v; want the good instance alone", list.Instances, len(list.Unreadable), err)
+			}
+		})
+	}
+}
--- a/platform/nesting.go
+++ b/storer/nesting.go
@@ -1,14 +1,14 @@
-package platform
+package storer
 
 // maxNesting is the number of levels to which the content of an object may be nested. Nothing that the platform or this
 // program writes comes near it.
 const maxNesting = 64
 
-// dropNested returns a JSON text in which each value that is nested too deeply is replaced by null. What is replaced is the
+// DropNested returns a JSON text in which each value that is nested too deeply is replaced by null. What is replaced is the
 // whole value that starts at the given level, where the text itself has level 1: the content of one object among others.
 // encoding/json rejects a whole text if one value in it is nested too deeply, so one such object would hide all others. A text
 // without such a value is returned as it is, and so is one that is no JSON.
-func dropNested(text []byte, level int) []byte {
+func DropNested(text []byte, level int) []byte {
 	var kept []byte // The output so far, once a value was dropped.
 	copied := 0     // The number of bytes of text that kept stands for.
 	start := 0      // Where the present value at the level starts.
