conductor, scheduler, platform: backend servers that say that they leave or want no requests for a time

A server that says in an answer that it leaves counts as draining from then on for this instance, with or without the store, and after entries of the same incarnation that still say ready. One that turns a request away and says for how long it wants none gets none in that time; requests that only it can run wait if their deadline allows, or are refused at once with the time until then; instances return to it spread over the time in which it can run a request of each. Malformed values are bounded and logged, and answers that name another request or server say nothing.

The jitter of retry times started from the same number in all instances, so that they all drew the same; it starts from the time of their start now.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -121,9 +121,8 @@
 			RequestID: platform.HeaderRequestID, TimeLeft: platform.HeaderTimeLeft, ExpectServer: platform.HeaderExpectServer,
 			Server:      platform.HeaderServer,
 			NotExecuted: platform.HeaderNotExecuted, Seal: platform.HeaderSeal, Load: platform.HeaderLoad, Key: platform.HeaderKey,
-			ColdRemaining: platform.HeaderColdRemaining,
 		},
-		HandoverHeader: platform.HeaderHandover, DecodeEntry: platform.DecodeEntry, DecodeTable: platform.DecodeConfig, EncodeOrder: platform.EncodeOrder,
+		HandoverHeader: platform.HeaderHandover, DecodeEntry: platform.DecodeEntry, DecodeNotice: platform.DecodeNotice, DecodeColdRemaining: platform.DecodeColdRemaining, DecodeTable: platform.DecodeConfig, EncodeOrder: platform.EncodeOrder,
 	}, store, clocker.Now, log, scope, reporter.HTTPHandler())
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -53,8 +53,11 @@
 	HeaderNames    forwarder.HeaderNames
 	HandoverHeader string // Header of the answer to a release that carries the handover text.
 	DecodeEntry    func(storer.Object) (registrar.Entry, error)
-	DecodeTable    func([]byte) (*director.Table, error)
-	EncodeOrder    func(leaser.Order) (path string, body []byte, err error)
+	DecodeNotice   forwarder.NoticeDecoder
+	// DecodeColdRemaining decodes for how much longer a backend server is cold, from its answer to a health call.
+	DecodeColdRemaining func(http.Header) (time.Duration, error)
+	DecodeTable         func([]byte) (*director.Table, error)
+	EncodeOrder         func(leaser.Order) (path string, body []byte, err error)
 }
 
 // Settings configures one instance. RetryRatio is the number of retries allowed for each request
@@ -313,7 +316,7 @@
 		c.tasks.Go(m.Run)
 	}
 	front := &http.Server{
-		Handler:           forwarder.New(c.codec.HeaderNames, c, c.clock, c.log.WithField("Subsystem", "requests")),
+		Handler:           forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.clock, c.log.WithField("Subsystem", "requests")),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 		ConnContext: forwarder.WithCallerConn,
 	}
--- a/conductor/freshness.go
+++ b/conductor/freshness.go
@@ -119,10 +119,13 @@
 		c.log.WithFields(fields).WithField("Error", err).Info("health call was not answered, the server may be cold")
 		return
 	}
-	coldFor, ok := names.ReadCold(a.Header)
+	coldFor, err := c.codec.DecodeColdRemaining(a.Header)
 	by := identifier.BackendServer(a.Header.Get(names.Server))
-	if by != e.ID || !ok {
-		c.log.WithFields(fields).WithFields(logrus.Fields{"AnsweredBy": by, "Cold": a.Header.Get(names.ColdRemaining)}).Info(
+	if by == e.ID {
+		c.applyNotice(e, a)
+	}
+	if by != e.ID || err != nil {
+		c.log.WithFields(fields).WithFields(logrus.Fields{"AnsweredBy": by, "Error": err}).Info(
 			"answer to a health call does not show whether the server is cold")
 		if by != e.ID && by != "" {
 			c.RecordReplaced(e, by)
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -103,6 +103,9 @@
 		a, err = c.sendVerified(ctx, o, r, orders, data, verified)
 	}
 	a.Close()
+	if err == nil && a.Header.Get(c.codec.HeaderNames.Server) == string(o.Server) {
+		c.applyNotice(registrar.Entry{ID: o.Server, Incarnation: o.Incarnation}, a)
+	}
 	var unsent *exchanger.UnsentError
 	var tooNew *exchanger.ConnectionTooNewError
 	switch {
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -172,6 +172,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scheduler.RecordOutcome(now, e.ID, e.Incarnation, r)
+	if r.Notice.RetryAfter > 0 {
+		c.scope.Counter("RetryAfterPauses").Inc(1)
+	}
+	if r.Notice.Leaving {
+		c.recordLeaving(now, e)
+	}
 	c.endSilent()
 	if r.Outcome == scheduler.Answered || r.Outcome == scheduler.Shed {
 		c.ownership.Leases.RecordAnswer(now, e.ID, e.Incarnation)
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -34,12 +34,13 @@
 	evacuationEndedAt   map[identifier.Zone]time.Time                      // By zone; its servers are cold for a while after.
 	newServerSeenAt     time.Time                                          // When a new backend server was last seen.
 	keyRates            map[identifier.Service]*allocator.KeyRates
-	badEntries          map[string]identifier.Version // Versions that were logged as not decodable.
-	members             map[string]seenMember         // By name of the member object.
-	storeDownAt         time.Time                     // Start of the present outage; zero while the store answers.
-	storeUpAt           time.Time                     // End of the last outage.
-	storeAnsweredAt     time.Time                     // When the store last answered this instance.
-	copiedAt            time.Time                     // When the last copies from another instance were requested.
+	leaving             map[serverIncarnation]time.Time // When a server first said in an answer that it leaves.
+	badEntries          map[string]identifier.Version   // Versions that were logged as not decodable.
+	members             map[string]seenMember           // By name of the member object.
+	storeDownAt         time.Time                       // Start of the present outage; zero while the store answers.
+	storeUpAt           time.Time                       // End of the last outage.
+	storeAnsweredAt     time.Time                       // When the store last answered this instance.
+	copiedAt            time.Time                       // When the last copies from another instance were requested.
 }
 
 // seenMember is what a version of a member object says.
@@ -64,6 +65,7 @@
 		evacuationEndedAt: map[identifier.Zone]time.Time{},
 		replaced:          map[identifier.BackendServer]registrar.Incarnation{},
 		keyRates:          map[identifier.Service]*allocator.KeyRates{},
+		leaving:           map[serverIncarnation]time.Time{},
 		badEntries:        map[string]identifier.Version{},
 	}
 }
@@ -154,6 +156,7 @@
 			}
 			continue
 		}
+		e = c.withNotice(e)
 		entries[e.ID] = e
 		delete(c.view.removed, e.ID)
 		if s := c.view.seen[e.ID]; s.version != e.Version {
@@ -173,6 +176,9 @@
 			}
 			if !e.Usable() && leavingSince.IsZero() {
 				leavingSince = now
+				if at, ok := c.view.leaving[serverIncarnation{e.ID, e.Incarnation}]; ok {
+					leavingSince = at
+				}
 			}
 			c.view.seen[e.ID] = seenEntry{e.Version, e.Incarnation, coldUntil, leavingSince}
 			c.log.WithFields(logrus.Fields{"Server": e.ID, "Life": e.Incarnation, "Service": e.Service, "Zone": e.Zone,
@@ -181,6 +187,7 @@
 	}
 	c.retainExpired(now, entries)
 	c.view.entries = entries
+	c.forgetLeaving(now)
 }
 
 // retainExpired keeps entries that are gone for the time in which they may come back. It does so
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,7 +27,6 @@
 // HeaderNames are the names of the headers that a platform uses in requests and answers.
 type HeaderNames struct {
 	RequestID, TimeLeft, ExpectServer, Server, NotExecuted, Seal, Load, Key string
-	ColdRemaining                                                           string // In answers to health calls only.
 }
 
 // Core decides where requests are sent, sends them, and records their outcomes. Its methods are called concurrently.
@@ -75,20 +74,25 @@
 	Sends   int
 }
 
+// NoticeDecoder decodes what a backend server says of itself in an answer with a status. The error tells what was malformed;
+// the notice can be used nevertheless.
+type NoticeDecoder func(status int, h http.Header) (registrar.Notice, error)
+
 // Forwarder is the http.Handler of callers' requests. It is safe for concurrent use.
 type Forwarder struct {
-	names HeaderNames
-	core  Core
-	clock func() time.Time
-	log   *logrus.Entry
+	names        HeaderNames
+	decodeNotice NoticeDecoder
+	core         Core
+	clock        func() time.Time
+	log          *logrus.Entry
 
 	mu          sync.Mutex
 	longestTime map[string]time.Duration // By name of the route: the longest time that a request had left when it arrived.
 }
 
-// New returns a Forwarder that uses the given header names and clock.
-func New(names HeaderNames, core Core, clock func() time.Time, log *logrus.Entry) *Forwarder {
-	return &Forwarder{names: names, core: core, clock: clock, log: log, longestTime: map[string]time.Duration{}}
+// New returns a Forwarder that uses the given header names, decoder and clock.
+func New(names HeaderNames, decodeNotice NoticeDecoder, core Core, clock func() time.Time, log *logrus.Entry) *Forwarder {
+	return &Forwarder{names: names, decodeNotice: decodeNotice, core: core, clock: clock, log: log, longestTime: map[string]time.Duration{}}
 }
 
 const (
@@ -210,6 +214,7 @@
 	case err == nil:
 		req.sends++
 		f.names.ReadLoad(answer.Header, &report)
+		report.Notice = f.notice(req, e, answer)
 		return f.checkAnswer(req, e, answer, report)
 	case errors.As(err, &unsent):
 		switch {
@@ -246,6 +251,20 @@
 	return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the connection broke after the request was sent"})
 }
 
+// notice returns what a server says of itself in the answer to a request. An answer that names no request or another server
+// may be a copy of an earlier one, and says nothing.
+func (f *Forwarder) notice(req *activeRequest, e registrar.Entry, a exchanger.Answer) registrar.Notice {
+	by := identifier.BackendServer(a.Header.Get(f.names.Server))
+	if req.id != "" && a.Header.Get(f.names.RequestID) != req.id || by != "" && by != e.ID {
+		return registrar.Notice{}
+	}
+	n, err := f.decodeNotice(a.Status, a.Header)
+	if err != nil {
+		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Error": err}).Warning("what the backend server says of itself is malformed in part")
+	}
+	return n
+}
+
 // retryOrFail decides whether a request that may have run is sent again. It returns nil if so, and otherwise failure.
 func (f *Forwarder) retryOrFail(req *activeRequest, e registrar.Entry, failure *result) *result {
 	req.sent[e.ID] = true
@@ -290,7 +309,7 @@
 		f.core.RecordNotOwner(e, req.service, req.key)
 	}
 	f.core.RecordOutcome(e, report)
-	f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status}).Info("backend server refused the request without running it")
+	f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status, "RetryAfterMs": report.Notice.RetryAfter.Milliseconds()}).Info("backend server refused the request without running it")
 	if a.Status == http.StatusBadRequest {
 		return &result{code: answerer.CodeBadRequest, status: http.StatusBadGateway, detail: "the backend server rejected the request as invalid"}
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -23,6 +23,9 @@
 
 var names = forwarder.HeaderNames{RequestID: "Id", TimeLeft: "Left", ExpectServer: "Expect", Server: "Server", NotExecuted: "Not-Run", Seal: "Seal", Load: "Load", Key: "Key"}
 
+// noNotice is a forwarder.NoticeDecoder for servers that say nothing of themselves.
+func noNotice(int, http.Header) (registrar.Notice, error) { return registrar.Notice{}, nil }
+
 // core is a forwarder.Core that answers each exchange with the next step of a script.
 type core struct {
 	table       *director.Table
@@ -34,11 +37,12 @@
 	notOwner    int
 	broke       int
 	replaced    identifier.BackendServer
+	notice      registrar.Notice
 }
 
 func (c *core) Table() *director.Table                                                  { return c.table }
 func (c *core) Split(r *director.Route) identifier.Service                              { return r.Shares[0].Service }
-func (c *core) RecordOutcome(registrar.Entry, scheduler.Report)                         {}
+func (c *core) RecordOutcome(_ registrar.Entry, r scheduler.Report)                     { c.notice = r.Notice }
 func (c *core) MayRetry(identifier.Service, bool) bool                                  { return c.retries }
 func (c *core) IsQuarantined(answerer.Fingerprint) bool                                 { return c.quarantined }
 func (c *core) RecordBrokenConnection(registrar.Entry, answerer.Fingerprint)            { c.broke++ }
@@ -110,7 +114,7 @@
 func send(c *core, method, path string, change func(*http.Request)) *httptest.ResponseRecorder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := forwarder.New(names, c, time.Now, logrus.NewEntry(log))
+	f := forwarder.New(names, noNotice, c, time.Now, logrus.NewEntry(log))
 	r := httptest.NewRequest(method, path, strings.NewReader("body"))
 	r.Host = "h"
 	r.Header.Set("Id", "id-1")
@@ -278,3 +282,35 @@
 		t.Errorf("%d exchanges left, want 0; %d connections counted as broken, want 0", len(k.steps), k.broke)
 	}
 }
+
+// TestLeavingOfOthers guards against a copy of an earlier answer, or the answer of another server, from which it is taken that a
+// server leaves or turns requests away.
+func TestLeavingOfOthers(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		step   string
+		notice registrar.Notice
+	}{
+		"Own":           {"ok", registrar.Notice{Leaving: true}},
+		"OwnRefusal":    {"shed", registrar.Notice{Leaving: true}},
+		"Unnamed":       {"shed-unnamed", registrar.Notice{}},
+		"OtherServer":   {"replaced", registrar.Notice{}},
+		"OtherSameName": {"misdirected", registrar.Notice{Leaving: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			k := &core{table: table(), steps: []string{c.step}}
+			leaving := func(int, http.Header) (registrar.Notice, error) { return registrar.Notice{Leaving: true}, nil }
+			r := httptest.NewRequest(http.MethodPost, "/write/a", nil)
+			r.Host = "h"
+			r.Header.Set("Id", "id-1")
+			forwarder.New(names, leaving, k, time.Now, logrus.NewEntry(log)).ServeHTTP(httptest.NewRecorder(), r)
+			if k.notice != c.notice {
+				t.Errorf("notice %+v recorded, want %+v", k.notice, c.notice)
+			}
+		})
+	}
+}
--- a/forwarder/parse.go
+++ b/forwarder/parse.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -173,20 +172,3 @@
 		}
 	}
 }
-
-// maxColdRemaining bounds the time that a backend server may say that it stays cold.
-const maxColdRemaining = time.Hour
-
-// ReadCold returns for how long a backend server stays cold by its answer to a health call; 0 if it is warm, which an
-// answer without the header says. It returns false if the header is not a number of milliseconds.
-func (n HeaderNames) ReadCold(h http.Header) (remaining time.Duration, ok bool) {
-	value := h.Get(n.ColdRemaining)
-	if value == "" {
-		return 0, true
-	}
-	ms, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || math.IsNaN(ms) || ms < 0 {
-		return 0, false
-	}
-	return time.Duration(min(ms, float64(maxColdRemaining.Milliseconds())) * float64(time.Millisecond)), true
-}
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -61,7 +61,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	k := &socketCore{core{table: table(), retries: true}, exchanger.NewPool(l.Addr().String(), 100, time.Now)}
-	server := httptest.NewUnstartedServer(forwarder.New(names, k, time.Now, logrus.NewEntry(log)))
+	server := httptest.NewUnstartedServer(forwarder.New(names, noNotice, k, time.Now, logrus.NewEntry(log)))
 	server.Config.ConnContext = forwarder.WithCallerConn
 	server.Start()
 	t.Cleanup(server.Close)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -50,3 +50,11 @@
 	Ready   bool
 	ReadyAt time.Time
 }
+
+// Notice is what a backend server says of itself in an answer.
+type Notice struct {
+	Leaving bool // It will end soon and wants no new requests.
+	// RetryAfter is the time in which it wants no requests from this instance, as it has turned one away; 0 if it says
+	// nothing of that.
+	RetryAfter time.Duration
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -148,7 +148,7 @@
 // owners, and its share of the request rates of cold servers in shares.
 func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares) *Scheduler {
 	return &Scheduler{
-		startedAt: now, zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
+		startedAt: now, retryJitter: uint64(now.UnixNano()), zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
 		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
 	}
@@ -216,6 +216,7 @@
 	Running  int     // Requests of all instances that run at the server.
 	Waiting  int     // Requests of all instances that wait at the server.
 	Slowness float64 // Factor by which the server's machine is slower than usual; 0 if it was not reported.
+	Notice   registrar.Notice
 }
 
 const (
@@ -245,11 +246,14 @@
 		usual := s.usualLatency(sv.entry.Service)
 		s.latency[sv.entry.Service] = usual + smoothing/4*(ms-usual)
 	case Shed:
-		sv.pausedUntil = now.Add(shedPause)
+		sv.pause(now.Add(shedPause))
 	case Unreachable, NoConnection:
-		sv.pausedUntil = now.Add(unreachablePause)
+		sv.pause(now.Add(unreachablePause))
 	case Broken, Cancelled:
 	}
+	if r.Outcome == Shed && r.Notice.RetryAfter > 0 {
+		sv.pause(now.Add(r.Notice.RetryAfter + s.returnDelay(now, sv)))
+	}
 	if r.HasLoad {
 		s.recordSilence(now, sv, r.Running+r.Waiting)
 		// One is subtracted because the report may still count the request that was answered.
@@ -407,6 +411,7 @@
 			wait = min(wait, time.Duration(float64(ahead[sv.entry.ID]+1)/float64(share)*float64(time.Second)))
 		}
 	}
+	wait = max(wait, sv.pausedUntil.Sub(now))
 	if s.missesDeadline(now, r, wait) {
 		in := s.inputs(now, sv)
 		in.Ahead, in.ExpectedWait = ahead[sv.entry.ID], wait
@@ -429,11 +434,13 @@
 	var best, doubtful *server
 	lowest, lowestDoubtful := math.Inf(1), math.Inf(1)
 	capacity, usable := 0.0, 0
+	pause := time.Duration(math.MaxInt64) // Until the first server accepts requests again.
 	for _, sv := range s.pools[r.Service] {
 		if sv.excluded || r.Tried[sv.entry.ID] {
 			continue
 		}
 		usable++
+		pause = min(pause, max(sv.pausedUntil.Sub(now), 0))
 		capacity += max(sv.requestLimit(now)-sv.otherLoad(now), 0.5)
 		if !s.hasCapacity(now, sv) {
 			if c := s.cost(now, sv); c < lowestDoubtful && s.needsHealthCall(now, sv) {
@@ -455,6 +462,7 @@
 		s.wantHealthCall(doubtful)
 	}
 	wait := time.Duration(float64(*ahead+1) / max(capacity, 1) * s.usualLatency(r.Service) * float64(time.Millisecond))
+	wait = max(wait, pause)
 	if s.missesDeadline(now, r, wait) {
 		return s.refuse(QueueTooLong, wait, Inputs{Ahead: *ahead, ExpectedWait: wait}), true
 	}
@@ -473,11 +481,16 @@
 	return Decision{Server: sv.entry, Send: s.sends, Inputs: in}
 }
 
+// jitter returns a pseudo-random number from 0 up to 1.
+func (s *Scheduler) jitter() float64 {
+	s.retryJitter = s.retryJitter*6364136223846793005 + 1442695040888963407
+	return float64(s.retryJitter>>40) / float64(1<<24)
+}
+
 // refuse returns a refusal with a retry time of 1 to 1.5 times the wait.
 func (s *Scheduler) refuse(reason Reason, wait time.Duration, in Inputs) Decision {
 	// The retry times are spread so that callers that are refused at the same time do not all retry at the same time.
-	s.retryJitter = s.retryJitter*6364136223846793005 + 1442695040888963407
-	factor := 1 + float64(s.retryJitter>>40)/float64(1<<24)/2
+	factor := 1 + s.jitter()/2
 	wait = time.Duration(float64(max(wait, minRetryAfter)) * factor)
 	return Decision{Reason: reason, RetryAfter: wait, Inputs: in}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -40,8 +40,15 @@
 
 // TestScripts runs the scripts in _fixtures. Each starts with a comment that names the load pattern for which it checks
 // the decisions; the words of the scripts are explained in execute.
-func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("_fixtures/*.txt")
+func TestScripts(t *testing.T) { runScripts(t, "_fixtures/*.txt") }
+
+// TestRetryAfter runs the scripts of servers that turn requests away and say for how long they want none. It guards against
+// requests that are sent to such a server in that time, or that wait for it in vain.
+func TestRetryAfter(t *testing.T) { runScripts(t, "_fixtures/retryafter/*.txt") }
+
+// runScripts runs the scripts whose names match a pattern.
+func runScripts(t *testing.T, pattern string) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("%d scripts, %v", len(files), err)
 	}
@@ -114,6 +121,8 @@
 		p.s.Enqueue(p.now, t)
 	case "done": // Ends a request at a server: ID, latency.
 		p.s.RecordOutcome(p.now, identifier.BackendServer(words[1]), 1, scheduler.Report{Latency: ms(2)})
+	case "turned-away": // Ends a request at a server that refuses it: ID, for how many milliseconds it wants no requests.
+		p.s.RecordOutcome(p.now, identifier.BackendServer(words[1]), 1, scheduler.Report{Outcome: scheduler.Shed, Notice: registrar.Notice{RetryAfter: ms(2)}})
 	case "report": // Ends a request with a load report: server's ID, latency, requests running and waiting there.
 		p.s.RecordOutcome(p.now, identifier.BackendServer(words[1]), 1, scheduler.Report{Latency: ms(2), HasLoad: true, Running: number(3), Waiting: number(4), Slowness: 1})
 	case "expect": // Checks a request: name, then a server's ID, "waits", or "refused" and a reason.
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -77,6 +77,24 @@
 	return float64(defaultLatency.Milliseconds())
 }
 
+// pause sends no request to the server before a time.
+func (sv *server) pause(until time.Time) {
+	if until.After(sv.pausedUntil) {
+		sv.pausedUntil = until
+	}
+}
+
+// maxReturnDelay bounds the time over which instances return to a server that has turned them away.
+const maxReturnDelay = time.Second
+
+// returnDelay returns how much longer than a server has asked for this instance stays away from it: a random part of the time
+// in which the server can run a request of each instance. Otherwise all instances that it turned away would return at once.
+func (s *Scheduler) returnDelay(now time.Time, sv *server) time.Duration {
+	sharers := max(s.shares.Share(now, sv.entry.ID).Sharers, 1)
+	spread := time.Duration(float64(sharers) * sv.serviceTime / float64(sv.entry.Slots) * float64(time.Millisecond))
+	return time.Duration(s.jitter() * float64(min(spread, maxReturnDelay)))
+}
+
 // inputs returns the values that are logged with a decision on a server.
 func (s *Scheduler) inputs(now time.Time, sv *server) Inputs {
 	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv), Sharers: s.shares.Share(now, sv.entry.ID).Sharers, ViewAge: s.viewAge(now)}
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		for _, sv := range s.pools[service] {
-			if len(sv.sent) == 0 || now.Sub(sv.probedAt) < probeInterval {
+			if len(sv.sent) == 0 || now.Sub(sv.probedAt) < probeInterval || now.Before(sv.pausedUntil) {
 				continue
 			}
 			wait := max(time.Duration(probeLatencyFactor*sv.latency*float64(time.Millisecond)), arrivalTime)
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -56,7 +56,7 @@
 		inst, duration := pick(rng, env.instances), randomFaultTime(rng)
 		inst.signal(time.Now(), syscall.SIGSTOP)
 		for end := time.Now().Add(duration); time.Now().Before(end) && clocker.Sleep(ctx, pollInterval); {
-			inst.recordFault(time.Now())
+			inst.recordPause(time.Now())
 		}
 		inst.signal(time.Now(), syscall.SIGCONT)
 	}},
@@ -141,6 +141,17 @@
 	}},
 }
 
+// turnRequestsAway lets one backend server after the other turn all requests away for a random time, until ctx ends. It uses
+// random numbers of its own, so that the order of the other faults of a seed stays as it was.
+func (env *environment) turnRequestsAway(ctx context.Context, rng *rand.Rand) {
+	for clocker.Sleep(ctx, randomFaultTime(rng)) {
+		b, until := pick(rng, env.backends), time.Now().Add(randomFaultTime(rng)/2)
+		b.mu.Lock()
+		b.turnsAwayUntil = until
+		b.mu.Unlock()
+	}
+}
+
 // shareIf returns x if on is set and 0 otherwise.
 func shareIf(on bool, x float64) float64 {
 	if on {
--- a/soaker/judge.go
+++ b/soaker/judge.go
@@ -46,6 +46,7 @@
 // requestRecord holds what has been observed of one request of a caller.
 type requestRecord struct {
 	nonIdempotent bool
+	sentAt        time.Time
 	runs          int
 	arrivals      int
 	status        int    // Status of the answer; 0 if there is none.
@@ -112,11 +113,22 @@
 func (c *checker) addRequest(now time.Time, id string, service identifier.Service, nonIdempotent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestRecords[id] = &requestRecord{nonIdempotent: nonIdempotent}
+	c.requestRecords[id] = &requestRecord{nonIdempotent: nonIdempotent, sentAt: now}
 	c.requestTimes[service] = append(c.requestTimes[service], now)
 	c.requests++
 }
 
+// sentAt returns when a caller sent a request; ok is false if none did.
+func (c *checker) sentAt(id string) (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requestRecords[id]
+	if r == nil {
+		return time.Time{}, false
+	}
+	return r.sentAt, true
+}
+
 // addArrival records that a request has reached a backend server, whether it runs
 // there or not. Every arrival after the first counts as a retry.
 func (c *checker) addArrival(now time.Time, id string, service identifier.Service) {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -36,6 +36,7 @@
 	exitExpected    bool      // The process has been sent SIGTERM or SIGKILL.
 	startedAt       time.Time // Start of the process.
 	lastFaultAt     time.Time // Last time at which a fault of this instance was in force, or its process started or exited.
+	lastPausedAt    time.Time // Last time at which the process was paused.
 	previousFaultAt time.Time // Value of lastFaultAt before the latest signal.
 	sigtermAt       time.Time // Time at which the process was sent SIGTERM; zero if it was not.
 	starts          int       // Number of processes started so far; it identifies the process.
@@ -199,11 +200,18 @@
 	return inst.sigtermAt, !inst.sigtermAt.IsZero()
 }
 
-// recordFault records that a fault of the instance was in force at now.
-func (inst *instance) recordFault(now time.Time) {
+// lastPause returns the last time at which the process was paused.
+func (inst *instance) lastPause() time.Time {
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
-	inst.lastFaultAt = now
+	return inst.lastPausedAt
+}
+
+// recordPause records that the process is paused at now, which is a fault.
+func (inst *instance) recordPause(now time.Time) {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	inst.lastPausedAt, inst.lastFaultAt = now, now
 }
 
 // undisturbedBefore reports whether, apart from a SIGTERM sent at sigtermAt, no fault has
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -173,8 +173,8 @@
 		route("lists", "/pooled/read/", true, pooledService, 1), route("signs", "/pooled/write/", false, pooledService, 0),
 		route("trial", trialPath(version), true, pooledService, 2),
 	}, []director.Service{
-		{Name: keyedService, HealthPath: "/health", MaxConnections: 100, ColdFor: coldTime, ColdRate: coldRate, Keyed: true, WarmUp: time.Second},
-		{Name: pooledService, HealthPath: "/health", MaxConnections: 100, ColdFor: coldTime, ColdRate: coldRate},
+		{Name: keyedService, HealthPath: impersonator.HealthPath, MaxConnections: 100, ColdFor: coldTime, ColdRate: coldRate, Keyed: true, WarmUp: time.Second},
+		{Name: pooledService, HealthPath: impersonator.HealthPath, MaxConnections: 100, ColdFor: coldTime, ColdRate: coldRate},
 	})
 	if err != nil {
 		panic(err) // The configuration is fixed in this function and can always be encoded.
@@ -225,6 +225,7 @@
 	if reply == impersonator.Misdirected {
 		return
 	}
+	env.checkNotice(now, s, r.ID)
 	undisturbed := s.instance.undisturbed(now, s.instance.serverLinks[s.number])
 	if leaving := s.leavingSince; !leaving.IsZero() && now.Sub(leaving) > drainTime && undisturbed && env.storeStable(leaving) && env.storeStable(now) {
 		env.checker.recordViolation(now, CheckDrain, "backend server %s got request %s from instance %s %s after the server began to leave",
