conductor, forwarder: a planned stop closes no connection over which a request is under way

Now each answer allows a connection to be idle for 2 s, an instance that leaves ends connections after their next answer, and closes what is left 2.6 s after SIGTERM, when no caller may use it any more.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -315,8 +315,9 @@
 	for _, m := range c.mirrors {
 		c.tasks.Go(m.Run)
 	}
+	callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.clock, c.log.WithField("Subsystem", "requests"))
 	front := &http.Server{
-		Handler:           forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.clock, c.log.WithField("Subsystem", "requests")),
+		Handler:           callers,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 		ConnContext: forwarder.WithCallerConn,
 	}
@@ -338,7 +339,7 @@
 	case err = <-listenerErrors:
 		c.log.WithField("Error", err).Error("listener failed, the instance stops")
 	case <-ctx.Done():
-		c.drain(front)
+		c.drain(callers, front)
 	}
 	for _, server := range []*http.Server{front, ready, ops} {
 		_ = server.Close() // The grace time is over for whatever is still running.
@@ -357,15 +358,18 @@
 	// is lower.
 	maxHeaderBytes = 64 << 10
 	// leaveTime is the time between the first readiness check that fails and the end of new
-	// connections. The load balancer checks every second and acts on the second failure.
-	leaveTime = 2500 * time.Millisecond
+	// connections. The load balancer checks every second and acts on the second failure. Besides, it is longer than
+	// forwarder.CallerKeepAlive by the time that a request or an answer may be under way, so that no caller sends a request
+	// over a connection that is closed as idle.
+	leaveTime = forwarder.CallerKeepAlive + 600*time.Millisecond
 	// exitReserve is held back from the time that the platform gives a process to exit.
 	exitReserve = 400 * time.Millisecond
 )
 
 // drain leaves the rosters, stops accepting connections and waits for running requests, all within
 // the grace time.
-func (c *Conductor) drain(front *http.Server) {
+func (c *Conductor) drain(callers *forwarder.Forwarder, front *http.Server) {
+	callers.Leave()
 	c.mu.Lock()
 	c.leaving = true
 	c.ownership.SetEnvironment(c.environment())
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -14,6 +14,20 @@
 // callerWriteTime is the time beyond a request's deadline in which a caller must have read the answer.
 const callerWriteTime = 2 * time.Second
 
+// CallerKeepAlive is how long a caller may leave its connection idle and still use it. Each answer says so, so that a planned
+// stop can close connections that were idle for longer without losing a request that has just been sent.
+const CallerKeepAlive = 2 * time.Second
+
+// setConnectionHeaders tells the caller for how long it may use its connection. An instance that leaves closes connections
+// after their next answer.
+func (f *Forwarder) setConnectionHeaders(h http.Header) {
+	if f.leaving.Load() {
+		h.Set("Connection", "close")
+		return
+	}
+	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(CallerKeepAlive/time.Second)))
+}
+
 // callerConnKey is the key of the caller's connection in the context of its requests.
 type callerConnKey struct{}
 
@@ -40,6 +54,7 @@
 		return f.writeAnswer(w, res)
 	}
 	h := w.Header()
+	f.setConnectionHeaders(h)
 	if res.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(res.retryAfter.Seconds(), 'f', 2, 64))
 	}
@@ -61,6 +76,7 @@
 	for _, name := range connectionHeaders {
 		h.Del(name)
 	}
+	f.setConnectionHeaders(h)
 	length := int64(len(a.Body))
 	if a.Rest != nil {
 		length = a.Length
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -85,6 +86,7 @@
 	core         Core
 	clock        func() time.Time
 	log          *logrus.Entry
+	leaving      atomic.Bool
 
 	mu          sync.Mutex
 	longestTime map[string]time.Duration // By name of the route: the longest time that a request had left when it arrived.
@@ -95,6 +97,10 @@
 	return &Forwarder{names: names, decodeNotice: decodeNotice, core: core, clock: clock, log: log, longestTime: map[string]time.Duration{}}
 }
 
+// Leave makes the Forwarder close each caller's connection after its next answer. CallerKeepAlive later, no caller uses a
+// connection any more that was opened before.
+func (f *Forwarder) Leave() { f.leaving.Store(true) }
+
 const (
 	// answerReserve is deducted from the time that a caller waits, for the transfer of the answer to it.
 	answerReserve = 15 * time.Millisecond
