--- a/conductor/leaving_test.go
+++ b/conductor/leaving_test.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return "gone"
 	}
-	candidate := s.c.candidate(s.now, e)
+	candidate := s.c.candidate(e)
 	switch {
 	case candidate.Usable() && !candidate.Excluded:
 		return "new"
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -353,7 +353,7 @@
 	}
 	candidates := make([]scheduler.Candidate, 0, len(c.view.entries))
 	for _, e := range c.view.entries {
-		candidates = append(candidates, c.candidate(now, e))
+		candidates = append(candidates, c.candidate(e))
 		limit := max(c.view.table.Services[e.Service].MaxConnections/count, 1)
 		key := poolKey{e.ID, e.Incarnation, e.Address}
 		if p, ok := c.pools[key]; ok {
@@ -392,7 +392,7 @@
 
 // candidate returns what the scheduler needs to know of a backend server. The caller holds the
 // lock.
-func (c *Conductor) candidate(now time.Time, e registrar.Entry) scheduler.Candidate {
+func (c *Conductor) candidate(e registrar.Entry) scheduler.Candidate {
 	return scheduler.Candidate{
 		ColdFor: c.view.table.Services[e.Service].ColdFor,
 		Entry:   e, Excluded: c.excluded(e), OwnsUntil: c.ownsUntil(e), ColdUntil: c.coldUntil(e),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -286,25 +286,30 @@
 func (f *Forwarder) checkAnswer(req *activeRequest, e registrar.Entry, a exchanger.Answer, report scheduler.Report) *result {
 	refusal := a.Header.Get(f.names.NotExecuted) != "" || a.Status == http.StatusMisdirectedRequest
 	// A refusal that names no request may be the second copy of an earlier one on the connection.
-	notRun := refusal && (req.id == "" || a.Header.Get(f.names.RequestID) == req.id)
-	if !notRun {
-		report.Outcome = scheduler.Answered
-		f.core.RecordOutcome(e, report)
-		if refusal || promisesNotRun(a.Status) {
-			a.Close()
-			f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status, "Refusal": refusal}).Info("answer of the backend server does not prove that the request has not run")
-			return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the backend server's answer does not prove that the request has not run"})
-		}
-		if a.Header.Get("Content-Encoding") != "" || a.Status < 300 && a.Header.Get(f.names.Seal) == "" {
-			a.Close()
-			return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer did not come unchanged from the backend server"})
-		}
-		f.core.RecordCompletion(req.fingerprint)
-		if req.keyed {
-			f.core.RecordOwner(e, req.service, req.key)
-		}
-		return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
+	if refusal && (req.id == "" || a.Header.Get(f.names.RequestID) == req.id) {
+		return f.checkRefusal(req, e, a, report)
+	}
+	report.Outcome = scheduler.Answered
+	f.core.RecordOutcome(e, report)
+	if refusal || promisesNotRun(a.Status) {
+		a.Close()
+		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": e.ID, "EntryVersion": e.Version, "Status": a.Status, "Refusal": refusal}).Info("answer of the backend server does not prove that the request has not run")
+		return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the backend server's answer does not prove that the request has not run"})
 	}
+	if a.Header.Get("Content-Encoding") != "" || a.Status < 300 && a.Header.Get(f.names.Seal) == "" {
+		a.Close()
+		return f.retryOrFail(req, e, &result{code: answerer.CodeBackendBroke, status: http.StatusBadGateway, detail: "the answer did not come unchanged from the backend server"})
+	}
+	f.core.RecordCompletion(req.fingerprint)
+	if req.keyed {
+		f.core.RecordOwner(e, req.service, req.key)
+	}
+	return &result{code: answerer.CodeOK, status: a.Status, answer: &a}
+}
+
+// checkRefusal records that a backend server has not run a request, and decides what follows. It returns nil if the request
+// must be sent again.
+func (f *Forwarder) checkRefusal(req *activeRequest, e registrar.Entry, a exchanger.Answer, report scheduler.Report) *result {
 	a.Close()
 	report.Outcome = scheduler.Shed
 	if by := identifier.BackendServer(a.Header.Get(f.names.Server)); a.Status == http.StatusMisdirectedRequest && by != "" && by != e.ID {
