imitator: ports for processes of tests are below those of outgoing connections

TestProcesses failed once because the kernel had given the port of an instance to an outgoing connection between the look for a free port and its use.

--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -85,12 +86,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := imitator.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(int(ports[0])))
 }
 
 // startProcess starts the program with args and its standard error in a file. The process is killed when the test ends,
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"fmt"
-	"math/rand"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/imitator"
 	"github.com/turmericlift/turmericlift/platform"
 	"github.com/turmericlift/turmericlift/platform/impersonator"
 )
@@ -49,7 +47,7 @@
 // newInstance returns an instance without a process and without links. The processes'
 // settings and logs go to folder.
 func newInstance(number int, program, folder string) (*instance, error) {
-	ports, err := freePorts(4)
+	ports, err := imitator.FreePorts(4)
 	if err != nil {
 		return nil, err
 	}
@@ -66,32 +64,6 @@
 	}, nil
 }
 
-// freePorts returns n different TCP ports that were free when they were tried.
-func freePorts(n int) ([]uint16, error) {
-	ports := make([]uint16, 0, n)
-	for tries := 0; len(ports) < n; tries++ {
-		port := uint16(minPort + rand.Intn(maxPort-minPort)) // Not from the seed: several runs may share the machine.
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(int(port))))
-		switch {
-		case err == nil:
-			defer func() { _ = l.Close() }()
-			ports = append(ports, port)
-		case tries == maxPortTries:
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-	}
-	return ports, nil
-}
-
-// The ports from minPort to maxPort are below those that the kernel uses for outgoing
-// connections, so that no such connection takes a port of an instance while its process
-// is down.
-const (
-	minPort      = 12000
-	maxPort      = 32000
-	maxPortTries = 100
-)
-
 // start starts a process of the program, with new files for its settings and its log. It
 // does nothing if a process runs or the instance was stopped.
 func (inst *instance) start(now time.Time) error {
