soaker, impersonator: backend servers that leave requests without an answer

The Lagos site has such servers; the stand-in and the soak did not play them. Health answers of the stand-in report the load.

--- a/soaker/backend.go
+++ b/soaker/backend.go
@@ -65,6 +65,7 @@
 	extraAnswerShare float64 // Share of the answers that are followed by an answer to no request.
 	cutFromStore     bool
 	turnsAwayUntil   time.Time // The server turns all requests away until then, and says so.
+	silentUntil      time.Time // The server answers no new request until then, nor any other on the same connection.
 	notices          map[*instance]givenNotice
 	listed           bool // The server's entry is in the store.
 }
@@ -81,7 +82,7 @@
 	b.grants = imitator.NewGrantee(b.name)
 	b.down, b.draining, b.leavingSince, b.slow, b.lostAnswerShare, b.extraAnswerShare, b.cutFromStore = false, false, time.Time{}, false, 0, 0, false
 	b.running, b.runningByKey = 0, map[identifier.ShardKey]int{}
-	b.turnsAwayUntil, b.notices = time.Time{}, map[*instance]givenNotice{}
+	b.turnsAwayUntil, b.silentUntil, b.notices = time.Time{}, time.Time{}, map[*instance]givenNotice{}
 	b.makeCold(now)
 	b.writeEntry()
 }
@@ -268,6 +269,8 @@
 		return impersonator.Unreachable
 	case r.ExpectedServer != "" && r.ExpectedServer != s.name, s.keyed && (!r.Keyed || !s.grants.HoldsKey(now, r.Key)):
 		return impersonator.Misdirected
+	case now.Before(s.silentUntil):
+		return impersonator.Silent
 	case s.running >= slots+queueLength, now.Before(s.turnsAwayUntil):
 		return impersonator.Shed
 	}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -141,13 +141,17 @@
 	}},
 }
 
-// turnRequestsAway lets one backend server after the other turn all requests away for a random time, until ctx ends. It uses
-// random numbers of its own, so that the order of the other faults of a seed stays as it was.
-func (env *environment) turnRequestsAway(ctx context.Context, rng *rand.Rand) {
+// rejectRequests lets one backend server after the other turn all requests away for a random time, or leave them without an
+// answer, until ctx ends. It uses random numbers of its own, so that the order of the other faults of a seed stays as it was.
+func (env *environment) rejectRequests(ctx context.Context, rng *rand.Rand) {
 	for clocker.Sleep(ctx, randomFaultTime(rng)) {
 		b, until := pick(rng, env.backends), time.Now().Add(randomFaultTime(rng)/2)
 		b.mu.Lock()
-		b.turnsAwayUntil = until
+		if rng.Intn(3) == 0 {
+			b.silentUntil = until
+		} else {
+			b.turnsAwayUntil = until
+		}
 		b.mu.Unlock()
 	}
 }
--- a/soaker/notice.go
+++ b/soaker/notice.go
@@ -89,12 +89,12 @@
 	}
 }
 
-// ColdRemaining returns for how much longer the server is cold.
-func (s endpoint) ColdRemaining(now time.Time) time.Duration {
+// Health returns for how much longer the server is cold, and the number of requests that run.
+func (s endpoint) Health(now time.Time) (coldRemaining time.Duration, running int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		panic(http.ErrAbortHandler)
 	}
-	return max(s.coldUntil.Sub(now), 0)
+	return max(s.coldUntil.Sub(now), 0), s.running
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -118,10 +118,10 @@
 		env.tasks.Go(func(context.Context) { c.probeConfig(callCtx) })
 	}
 	clocker.Sleep(ctx, startupTime)
-	turnAwayCtx, endTurnAway := context.WithCancel(ctx)
-	env.tasks.Go(func(context.Context) { env.turnRequestsAway(turnAwayCtx, rand.New(rand.NewSource(-seed))) })
+	rejectCtx, endRejecting := context.WithCancel(ctx)
+	env.tasks.Go(func(context.Context) { env.rejectRequests(rejectCtx, rand.New(rand.NewSource(-seed))) })
 	injected = env.injectFaults(ctx, cfg.FaultTime, rand.New(rand.NewSource(seed)))
-	endTurnAway()
+	endRejecting()
 	if !env.awaitAllServed(ctx, recoveryTime) && ctx.Err() == nil { // A cancelled run shows nothing.
 		env.checker.recordViolation(time.Now(), CheckRecovery, "some requests are still not served %s after the last fault", recoveryTime)
 	}
