conductor: health calls that confirm what was believed are counted, not logged

A view that is stale for seconds gave a line for each call, some thousands a second over the fleet. Calls that show a cold server, fail, or do not tell are logged as before; HealthCalls counts all.

--- a/conductor/freshness.go
+++ b/conductor/freshness.go
@@ -139,6 +139,8 @@
 	if c.view.table != nil { // No server is cold for longer than its service says.
 		coldFor = min(coldFor, c.view.table.Services[e.Service].ColdFor)
 	}
-	c.log.WithFields(fields).WithFields(logrus.Fields{"ColdMs": coldFor.Milliseconds(), "ViewAgeMs": c.viewAge(now).Milliseconds()}).Info("health call shows whether the server is cold")
+	if coldFor > 0 { // A warm server is what was believed, and HealthCalls counts the calls.
+		c.log.WithFields(fields).WithFields(logrus.Fields{"ColdMs": coldFor.Milliseconds(), "ViewAgeMs": c.viewAge(now).Milliseconds()}).Info("health call shows that the server is cold")
+	}
 	c.scheduler.RecordHealth(now, askedAt, e.ID, e.Incarnation, coldFor)
 }
