conductor, scheduler: outcomes and copies in files of their own, one health request

Moves without a change of behaviour. The log field Cold also covers servers that are possibly cold, since the rate of a cold server was applied to them.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -3,12 +3,13 @@
 // ownership (custodian) and on routing (scheduler), and the connections to backend servers and
 // other instances.
 //
-// Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects,
+// Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects, freshness.go
+// tracks how old what it shows may be, and leaving.go what servers say of themselves in answers.
 // requests.go serves the requests of callers (it implements forwarder.Core), planning.go plans
-// allocations, granting.go sends grants and releases to backend servers, rosters.go writes the
-// shared objects, peers.go exchanges states with other instances, records.go keeps the records of
-// the instances among which bounds are divided, outage.go tracks outages of the platform's store, and
-// freshness.go tracks how old the view may be.
+// allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
+// objects, and records.go keeps the records of the instances among which bounds are divided. peers.go
+// exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
+// the platform's store.
 package conductor
 
 import (
--- a/conductor/freshness.go
+++ b/conductor/freshness.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericlift/turmericlift/exchanger"
-	"github.com/turmericlift/turmericlift/gossiper"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/registrar"
 )
@@ -70,27 +69,10 @@
 	}
 }
 
-// copySources returns the addresses of instances from which copies may be requested: of live ones that the store answers,
-// or of all possible ones if there is none. The caller holds the lock.
-func (c *Conductor) copySources(now time.Time) []string {
-	var sources []string
-	for _, p := range c.ownership.Gossip.Live(now) {
-		if p.StoreUp {
-			sources = append(sources, p.Address)
-		}
-	}
-	if len(sources) == 0 {
-		return c.ownership.Gossip.Targets(now)
-	}
-	return sources
-}
-
-// copyIfStoreIsSilent requests copies from an instance that has newer objects, unless the store has answered this one
-// lately: it may be some time before the silence of the store shows. The caller holds the lock.
-func (c *Conductor) copyIfStoreIsSilent(now time.Time, s gossiper.State) {
-	if s.StoreUp && now.Sub(c.view.storeAnsweredAt) >= watchLag {
-		c.tasks.Go(func(ctx context.Context) { c.copyFrom(ctx, s.Address) })
-	}
+// healthRequest returns the request of a server's health path.
+func (c *Conductor) healthRequest(e registrar.Entry, path string) *exchanger.Request {
+	names := c.codec.HeaderNames
+	return &exchanger.Request{Method: http.MethodGet, Target: path, Host: e.Address, IDHeader: names.RequestID, Header: http.Header{names.ExpectServer: {string(e.ID)}}}
 }
 
 // healthCallTimeout bounds a call of a server's health path, which answers at once.
@@ -110,9 +92,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCallTimeout)
 	defer cancel()
-	names := c.codec.HeaderNames
 	askedAt := c.clock()
-	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: e.Address, IDHeader: names.RequestID, Header: http.Header{names.ExpectServer: {string(e.ID)}}})
+	a, err := p.Do(ctx, c.healthRequest(e, path))
 	a.Close()
 	fields := logrus.Fields{"Server": e.ID, "Service": e.Service, "EntryVersion": e.Version, "Status": a.Status}
 	if err != nil {
@@ -120,7 +101,7 @@
 		return
 	}
 	coldFor, err := c.codec.DecodeColdRemaining(a.Header)
-	by := identifier.BackendServer(a.Header.Get(names.Server))
+	by := identifier.BackendServer(a.Header.Get(c.codec.HeaderNames.Server))
 	if by == e.ID {
 		c.applyNotice(e, a)
 	}
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -125,7 +125,7 @@
 // probe calls the health path of a server, to learn from its load whether it knows the requests that it has not answered.
 func (c *Conductor) probe(ctx context.Context, e registrar.Entry) {
 	c.mu.Lock()
-	key, p := c.orderPool(e.ID, e.Incarnation)
+	_, p := c.orderPool(e.ID, e.Incarnation)
 	path := ""
 	if c.view.table != nil {
 		path = c.view.table.Services[e.Service].HealthPath
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	a, err := p.Do(ctx, &exchanger.Request{Method: http.MethodGet, Target: path, Host: key.address, IDHeader: c.codec.HeaderNames.RequestID, Header: http.Header{c.codec.HeaderNames.ExpectServer: {string(e.ID)}}})
+	a, err := p.Do(ctx, c.healthRequest(e, path))
 	a.Close()
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"Server": e.ID, "Error": err}).Debug("health path was not answered, requests at the server go on waiting")
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -97,7 +97,7 @@
 
 // inputs returns the values that are logged with a decision on a server.
 func (s *Scheduler) inputs(now time.Time, sv *server) Inputs {
-	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv), Sharers: s.shares.Share(now, sv.entry.ID).Sharers, ViewAge: s.viewAge(now)}
+	in := Inputs{Running: sv.running, OtherLoad: sv.otherLoad(now), Cold: s.isCold(now, sv) || s.isDoubtful(now, sv), Sharers: s.shares.Share(now, sv.entry.ID).Sharers, ViewAge: s.viewAge(now)}
 	if !sv.reportedAt.IsZero() {
 		in.LoadAge = now.Sub(sv.reportedAt)
 	}
