conductor: entries that do not decode are forgotten once they are gone

The versions that were logged stayed for each name under which another writer ever left such an entry, a map without a bound. Only those that are still in the store are kept. TestForgottenBadEntries failed before: 50 entries.

--- a/conductor/leaving_test.go
+++ b/conductor/leaving_test.go
@@ -134,3 +134,19 @@
 	}
 	return "none"
 }
+
+// TestForgottenBadEntries guards against memory that grows with each name under which another writer ever left an entry that
+// does not decode.
+func TestForgottenBadEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newIdle(&now)
+	c.codec.DecodeEntry = decodeTestEntry
+	for n := range 50 {
+		revision := identifier.Version(n + 1)
+		o := storer.Object{Name: fmt.Sprintf("odd-%d", n), Version: revision, Data: []byte("odd")}
+		c.mirrors[c.kinds.Servers].ApplyList(mirrorer.Copy{Kind: c.kinds.Servers, Revision: revision, Objects: []storer.Object{o}}, now)
+	}
+	if len(c.view.badEntries) != 1 {
+		t.Errorf("%d entries remembered, want the one that is still there", len(c.view.badEntries))
+	}
+}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -142,6 +142,7 @@
 // caller holds the lock.
 func (c *Conductor) readServers(now time.Time, objects []storer.Object) {
 	entries := make(map[identifier.BackendServer]registrar.Entry, len(objects))
+	badEntries := map[string]identifier.Version{}
 	for _, o := range objects {
 		if known, ok := c.view.entries[identifier.BackendServer(o.Name)]; ok && known.Version == o.Version {
 			entries[known.ID] = known // Most entries are unchanged, and decoding is the greater part of the work.
@@ -150,8 +151,8 @@
 		}
 		e, err := c.codec.DecodeEntry(o)
 		if err != nil {
+			badEntries[o.Name] = o.Version
 			if c.view.badEntries[o.Name] != o.Version {
-				c.view.badEntries[o.Name] = o.Version
 				c.log.WithFields(logrus.Fields{"Entry": o.Name, "Version": o.Version, "Error": err}).Warning("entry does not decode, its backend server is not used")
 			}
 			continue
@@ -186,7 +187,7 @@
 		}
 	}
 	c.retainExpired(now, entries)
-	c.view.entries = entries
+	c.view.entries, c.view.badEntries = entries, badEntries
 	c.forgetLeaving(now)
 }
 
