--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -32,6 +32,9 @@
 		case <-time.After(interval):
 		}
 		e := w.entries[rng.Intn(len(w.entries))]
+		for tries := 0; tries < 10 && !e.inRotation(); tries++ {
+			e = w.entries[rng.Intn(len(w.entries))]
+		}
 		key := rng.Intn(keyCount)
 		if rng.Float64() < busyShare {
 			key = firstBusyKey + rng.Intn(busyKeys)
@@ -64,15 +67,18 @@
 	r.Header.Set(headerDeadline, strconv.FormatInt(clientDeadline.Milliseconds(), 10))
 	r.Header.Set(headerKey, strconv.Itoa(key))
 	w.rec.line("client: sends %s %s %s, key %d, to %s", method, path, id, key, e.name)
+	sentAt := time.Now()
 	transport := &http.Transport{DisableKeepAlives: true}
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
 		w.rec.line("client: %s has no answer: %v", id, err)
+		w.checkLost(e, id, sentAt, 0, "")
 		return
 	}
 	data, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	w.rec.line("client: %s is answered %d, seal %q, Retry-After %q, whole %t", id, resp.StatusCode, resp.Header.Get(headerSeal), resp.Header.Get("Retry-After"), err == nil)
+	w.checkLost(e, id, sentAt, resp.StatusCode, resp.Header.Get(headerSeal))
 	if resp.StatusCode == http.StatusOK && err == nil && string(data) != "done "+id {
 		w.violate("MIXED: %s got the body %q", id, data)
 	}
@@ -81,6 +87,33 @@
 	}
 }
 
+// shortestTimeout is the lowest timeout_s of the routes, less a margin: what ends sooner has not reached its timeout.
+const shortestTimeout = time.Second - 100*time.Millisecond
+
+// checkLost checks the rule LOST for a request that has just ended, without an answer if its status is 0. It was lost if
+// its instance was being stopped, an upstream had begun to work on it, and the instance broke it off or gave an answer
+// of its own before the timeout.
+func (w *world) checkLost(e *entry, id string, sentAt time.Time, status int, seal string) {
+	now := time.Now()
+	if e.isLeaving(now) && seal == "" && w.rec.runCount(id) > 0 && now.Sub(sentAt) < shortestTimeout {
+		w.violate("LOST: %s was at work at an upstream and ended after %d ms with status %d from %s, which is being stopped", id, now.Sub(sentAt).Milliseconds(), status, e.name)
+	}
+}
+
+// watchReadiness checks each second which instances are ready, until the world ends.
+func (w *world) watchReadiness() {
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(time.Second):
+		}
+		for _, e := range w.entries {
+			e.checkReady()
+		}
+	}
+}
+
 // checkRuns checks the rule TWICE. The numbers of reads can be divided by 4.
 func (w *world) checkRuns() {
 	w.rec.mu.Lock()
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,10 @@
 	rec                                                 *recorder
 	cmd                                                 *exec.Cmd
 	ended                                               chan struct{}
+
+	mu     sync.Mutex
+	termAt time.Time // When the process got SIGTERM last.
+	misses int       // Readiness checks in a row that were not answered with 200.
 }
 
 // The limits of a machine of the site qsl-edge, and of one in the zone jyl-syd of the site hytlog-dk.
@@ -28,6 +33,9 @@
 	linkMbps = 2000
 )
 
+// graceTime is the bound grace_s of the site hytlog-dk.
+const graceTime = 6 * time.Second
+
 // settingsText is the settings file of an instance, with the bounds of the site hytlog-dk.
 const settingsText = `grants = "duty_call"
 [self]
@@ -137,6 +145,45 @@
 	return nil
 }
 
+// term sends SIGTERM to the process, and SIGKILL if it has not ended within the grace time.
+func (e *entry) term() {
+	e.mu.Lock()
+	e.termAt = time.Now()
+	e.mu.Unlock()
+	e.rec.line("instance %s: SIGTERM", e.name)
+	_ = e.cmd.Process.Signal(syscall.SIGTERM) // An error means that the process has ended, which is recorded.
+	select {
+	case <-e.ended:
+	case <-time.After(graceTime):
+		e.stop()
+	}
+}
+
+// isLeaving reports whether a time lies between the last SIGTERM and 1 s after the grace time.
+func (e *entry) isLeaving(at time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.termAt.IsZero() && at.After(e.termAt) && at.Sub(e.termAt) < graceTime+time.Second
+}
+
+// checkReady checks the readiness once, as the platform does each second.
+func (e *entry) checkReady() {
+	ready := e.isReady()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.misses++
+	if ready {
+		e.misses = 0
+	}
+}
+
+// inRotation reports whether the platform sends new connections to the instance.
+func (e *entry) inRotation() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.misses < 2
+}
+
 // memory returns the memory of the process in MiB, without that of files that it maps; 0 if the process has ended.
 func (e *entry) memory() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 // play is a case: the size of the deployment, the disruption and how long the case goes on afterwards.
 type play struct {
 	upstreams, pooled, instances int
-	work                         time.Duration // Of each request.
+	work, longWork               time.Duration // Of requests, and of those to the path /supply/ if it is not 0.
 	interval                     time.Duration // Between two requests of the clients.
 	trouble                      func(w *world) error
 	calm                         func(w *world) error // Takes the place of trouble if TROUBLE is 0; may be nil.
@@ -31,11 +31,13 @@
 const calmTime = 4 * time.Second
 
 var plays = map[string]play{
-	"reborn":    {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 15 * time.Millisecond, trouble: rebornBehindCut, after: 5 * time.Second},
-	"old-life":  {upstreams: 6, pooled: 3, instances: 3, work: 160 * time.Millisecond, interval: 10 * time.Millisecond, trouble: oldLifeReturns, after: 5 * time.Second},
-	"no-born":   {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 15 * time.Millisecond, trouble: entryWithoutBorn, after: 5 * time.Second},
-	"uploads":   {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 25 * time.Millisecond, calm: singleUploads, trouble: largeUploads},
-	"old-state": {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 25 * time.Millisecond, trouble: oldStateReturns, after: 3 * time.Second},
+	"reborn":     {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 15 * time.Millisecond, trouble: rebornBehindCut, after: 5 * time.Second},
+	"old-life":   {upstreams: 6, pooled: 3, instances: 3, work: 160 * time.Millisecond, interval: 10 * time.Millisecond, trouble: oldLifeReturns, after: 5 * time.Second},
+	"no-born":    {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 15 * time.Millisecond, trouble: entryWithoutBorn, after: 5 * time.Second},
+	"cold-again": {upstreams: 6, pooled: 3, instances: 3, work: 50 * time.Millisecond, interval: 5 * time.Millisecond, trouble: coldAgain, after: 4 * time.Second},
+	"late-loads": {upstreams: 6, pooled: 3, instances: 3, work: 50 * time.Millisecond, longWork: 800 * time.Millisecond, interval: 10 * time.Millisecond, calm: rollingStop, trouble: rollingStopWithLateLoads},
+	"uploads":    {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 25 * time.Millisecond, calm: singleUploads, trouble: largeUploads},
+	"old-state":  {upstreams: 6, pooled: 3, instances: 3, work: 100 * time.Millisecond, interval: 25 * time.Millisecond, trouble: oldStateReturns, after: 3 * time.Second},
 }
 
 func main() {
@@ -68,6 +70,7 @@
 		return statusNotRun
 	}
 	w.goRun(w.watchOwners)
+	w.goRun(w.watchReadiness)
 	w.goRun(func() { w.runClients(p.interval) })
 	time.Sleep(calmTime)
 	trouble := p.trouble
--- a/review/standin/troubles.go
+++ b/review/standin/troubles.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -82,3 +83,39 @@
 	w.store.beat(u.id, old)
 	return nil
 }
+
+// rollingStop stops the instances in turn and starts each again, twice.
+func rollingStop(w *world) error {
+	for _, e := range slices.Concat(w.entries, w.entries) {
+		e.term()
+		time.Sleep(restartDelay)
+		if err := e.start(); err != nil {
+			return err
+		}
+		for !e.isReady() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	return nil
+}
+
+// rollingStopWithLateLoads does the same while the upstreams tell the load that they had a second ago.
+func rollingStopWithLateLoads(w *world) error {
+	for _, u := range w.upstreams {
+		u.mu.Lock()
+		u.loadLag = time.Second
+		u.mu.Unlock()
+	}
+	w.rec.line("upstreams: tell the load of a second ago from now on")
+	time.Sleep(3 * time.Second)
+	return rollingStop(w)
+}
+
+// coldAgain makes an upstream cold again just after it has written its entry.
+func coldAgain(w *world) error {
+	u := w.upstreams[6]
+	u.awaitBeat()
+	u.turnCold()
+	return nil
+}
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -24,6 +24,7 @@
 	headerKey      = "X-Turmericlift-Shard-Key"
 	headerHandover = "X-Turmericlift-Handover"
 	headerLeaving  = "Server-Leaving"
+	headerCold     = "X-Turmericlift-Cold-Remaining"
 )
 
 const (
@@ -33,6 +34,9 @@
 	beatRetry = 100 * time.Millisecond
 	// coldTime is how long an upstream is cold after its start during traffic.
 	coldTime = 3 * time.Second
+	// coldRate is the bound cold_per_s of the site hytlog-dk, and coldBound is coldRate x cold_overshoot + cold_slack.
+	coldRate  = 11
+	coldBound = coldRate*1.5 + 5
 	// drainTime is the bound drain_s of the site hytlog-dk.
 	drainTime = 2 * time.Second
 	keyCount  = 65536
@@ -49,28 +53,38 @@
 	until    time.Time
 }
 
+// pastLoad is the load of an upstream at a time, as its load header says it.
+type pastLoad struct {
+	at   time.Time
+	text string
+}
+
 // life is what an incarnation of an upstream holds and knows.
 type life struct {
-	born     time.Time
-	cold     time.Duration
-	sequence int       // Beats so far.
-	leavesAt time.Time // When the store has accepted that the upstream is draining; zero before.
-	draining bool
-	server   *http.Server
-	holds    []hold
-	fences   []uint64 // By key, the highest fence that was seen.
-	running  int
-	waiting  int
-	busy     map[int]int // By key, the number of requests that run.
-	slots    chan struct{}
-	ended    chan struct{}
+	born      time.Time
+	coldUntil time.Time
+	arrivals  []time.Time // Requests of the last second that arrived while the upstream was cold.
+	loads     []pastLoad  // The newest is the present load.
+	flooded   bool        // Too many of them were reported.
+	sequence  int         // Beats so far.
+	leavesAt  time.Time   // When the store has accepted that the upstream is draining; zero before.
+	draining  bool
+	server    *http.Server
+	holds     []hold
+	fences    []uint64 // By key, the highest fence that was seen.
+	running   int
+	waiting   int
+	busy      map[int]int // By key, the number of requests that run.
+	slots     chan struct{}
+	ended     chan struct{}
 }
 
 // upstream simulates an upstream. It keeps its id and its address when it starts again.
 type upstream struct {
 	id, service, zone, address string
 	sharded                    bool
-	work                       time.Duration
+	work, longWork             time.Duration // Of requests, and of those to the path /supply/.
+	loadLag                    time.Duration // How old the load is that the load header says.
 	store                      *store
 	rec                        *recorder
 	violate                    func(format string, args ...any)
@@ -87,7 +101,7 @@
 	if err != nil {
 		return fmt.Errorf("start upstream %s: %w", u.id, err)
 	}
-	l := &life{born: time.Now(), cold: cold, fences: make([]uint64, keyCount), busy: map[int]int{}, slots: make(chan struct{}, upstreamSlots), ended: make(chan struct{})}
+	l := &life{born: time.Now(), coldUntil: time.Now().Add(cold), fences: make([]uint64, keyCount), busy: map[int]int{}, slots: make(chan struct{}, upstreamSlots), ended: make(chan struct{})}
 	l.server = &http.Server{Handler: u.handler(l), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
 	u.mu.Lock()
 	u.current = l
@@ -177,7 +191,7 @@
 	if l.draining {
 		state = "draining"
 	}
-	left := max(l.cold-time.Since(l.born), 0).Seconds()
+	left := max(time.Until(l.coldUntil), 0).Seconds()
 	return map[string]any{"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": upstreamSlots,
 		"state": state, "cold_left_s": float64(int(left*100)) / 100, "sequence": l.sequence, "born": l.born.UnixMilli()}
 }
@@ -242,6 +256,9 @@
 			u.serveOrder(w, r.URL.Path == "/grant", l, body)
 		case "/health":
 			w.Header().Set(headerLoad, u.load(l))
+			if left := u.coldLeft(l); left > 0 {
+				w.Header().Set(headerCold, strconv.FormatInt(left.Milliseconds()+1, 10))
+			}
 		default:
 			u.serveRequest(w, r, l)
 		}
@@ -255,6 +272,38 @@
 	return l.draining
 }
 
+// turnCold makes the present incarnation cold again. Its next beat says so.
+func (u *upstream) turnCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.current.coldUntil = time.Now().Add(coldTime)
+	u.rec.line("upstream %s: is cold again", u.id)
+}
+
+// coldLeft returns for how much longer an incarnation is cold.
+func (u *upstream) coldLeft(l *life) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Until(l.coldUntil)
+}
+
+// checkCold checks the rule FAILBACK for a request that arrives now.
+func (u *upstream) checkCold(l *life) {
+	now := time.Now()
+	u.mu.Lock()
+	if !now.Before(l.coldUntil) {
+		u.mu.Unlock()
+		return
+	}
+	l.arrivals = slices.DeleteFunc(append(l.arrivals, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	n, isNew := len(l.arrivals), !l.flooded && float64(len(l.arrivals)) > coldBound
+	l.flooded = l.flooded || isNew
+	u.mu.Unlock()
+	if isNew {
+		u.violate("FAILBACK: cold upstream %s got %d requests in one second, allowed are %g", u.id, n, coldBound)
+	}
+}
+
 // checkDrain checks the rule DRAIN for a request that arrives now.
 func (u *upstream) checkDrain(l *life, id string) {
 	u.mu.Lock()
@@ -265,11 +314,16 @@
 	}
 }
 
-// load returns the value of the load header.
+// load returns the value of the load header, as it was loadLag ago.
 func (u *upstream) load(l *life) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d,100", l.running, l.waiting, upstreamSlots)
+	now := time.Now()
+	l.loads = append(l.loads, pastLoad{now, fmt.Sprintf("%d,%d,%d,100", l.running, l.waiting, upstreamSlots)})
+	for len(l.loads) > 1 && now.Sub(l.loads[1].at) >= u.loadLag {
+		l.loads = l.loads[1:]
+	}
+	return l.loads[0].text
 }
 
 // order is a grant or a release.
@@ -397,6 +451,9 @@
 	h.Set(headerID, id)
 	key, err := strconv.Atoi(r.Header.Get(headerKey))
 	u.checkDrain(l, id)
+	if !u.sharded {
+		u.checkCold(l)
+	}
 	status := http.StatusBadRequest
 	if err == nil && id != "" {
 		status = u.enter(l, r, key)
@@ -411,7 +468,7 @@
 	u.rec.run(id)
 	ended := true
 	select {
-	case <-time.After(u.work):
+	case <-time.After(u.workOf(r)):
 	case <-r.Context().Done():
 		ended = false
 	case <-l.ended:
@@ -419,6 +476,7 @@
 	}
 	u.leave(l, key)
 	if !ended {
+		u.rec.line("upstream %s: %s is broken off while it runs", u.id, id)
 		panic(http.ErrAbortHandler)
 	}
 	h.Set(headerSeal, "seal-"+id)
@@ -430,6 +488,14 @@
 	_, _ = io.WriteString(w, "done "+id) // An error means that the caller has left.
 }
 
+// workOf returns the time that a request takes.
+func (u *upstream) workOf(r *http.Request) time.Duration {
+	if r.Method == http.MethodPost && u.longWork > 0 {
+		return u.longWork
+	}
+	return u.work
+}
+
 // enter waits for a slot for a request and counts it as running. It returns another status than 200 if the request is
 // rejected.
 func (u *upstream) enter(l *life, r *http.Request, key int) int {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -56,7 +56,7 @@
 	w.writeConfig(1)
 	go w.store.expire(w.stop)
 	for n := range p.upstreams + p.pooled {
-		u := &upstream{id: fmt.Sprintf("i-%04x", 0x3a10+n*0x111), service: shardedName, sharded: true, zone: zones[n%len(zones)], work: p.work,
+		u := &upstream{id: fmt.Sprintf("i-%04x", 0x3a10+n*0x111), service: shardedName, sharded: true, zone: zones[n%len(zones)], work: p.work, longWork: p.longWork,
 			address: fmt.Sprintf("%s:%d", upstreamIP, ports[6+n]), store: w.store, rec: rec, violate: w.violate}
 		if n >= p.upstreams {
 			u.service, u.sharded = pooledName, false
@@ -103,8 +103,8 @@
 		"services": map[string]any{
 			"columns": []string{"name", "health_path", "max_conns", "cold_s", "cold_per_s", "sharded", "warmup_s"},
 			"rows": [][]any{
-				{shardedName, "/health", 110, coldTime.Seconds(), 11, true, 3},
-				{pooledName, "/health", 110, coldTime.Seconds(), 11, false, 3},
+				{shardedName, "/health", 110, coldTime.Seconds(), coldRate, true, 3},
+				{pooledName, "/health", 110, coldTime.Seconds(), coldRate, false, 3},
 			},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_s": 3, "idle_timeout_s": 15},
