conductor, mirrorer, gossiper: instances of large installations follow relays

Change: from 48 instances on record on, the relays of a zone and the planner follow the store, and the others fetch deltas from a relay that the store answers. An instance that hears none for a second follows the store itself, and its view counts as known up to the relay's last state until it has read it. StoreCalls counts calls by kind, call and reason. Nobody lists the configuration again at its start because it takes itself for the planner.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -187,6 +187,8 @@
 	viewWasStale      bool                              // As last logged.
 	missingSince      map[identifier.Instance]time.Time // Instances on record that are not heard.
 	refreshDue        bool                              // The number of instances changed since the last refresh.
+	delegation        delegation
+	copyTrigger       chan struct{}
 	done              chan error
 }
 
@@ -221,7 +223,7 @@
 	c := &Conductor{
 		settings: s, kinds: kinds, codec: codec, store: store, clock: clock, log: log, scope: scope, metrics: metrics,
 		mirrors: map[storer.ObjectKind]*mirrorer.Mirror{}, planTrigger: make(chan struct{}, 1),
-		grantTrigger: make(chan struct{}, 1), sendTrigger: make(chan struct{}, 1), startedAt: now,
+		grantTrigger: make(chan struct{}, 1), sendTrigger: make(chan struct{}, 1), copyTrigger: make(chan struct{}, 1), startedAt: now,
 		splitter: director.NewSplitter(), retryBudgets: map[identifier.Service]*limiter.RetryBudget{},
 		keyCounters: map[identifier.Service]*allocator.Counter{}, exchanges: map[scheduler.Send]context.CancelCauseFunc{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
@@ -242,7 +244,7 @@
 		c.lagDetectors[kind] = &mirrorer.LagDetector{}
 	}
 	for _, kind := range []storer.ObjectKind{kinds.Servers, kinds.Config, kinds.Evacuations, kinds.Shared} {
-		c.mirrors[kind] = mirrorer.New(kind, store, c.watchTiming, clock, c.mirrorChanged, c.recordStoreCall,
+		c.mirrors[kind] = mirrorer.New(kind, c.calls(reasonFollow), c.watchTiming, clock, c.mirrorChanged, c.recordStoreCall,
 			func(ctx context.Context, failures int) { c.storeBackoff(ctx, kind, failures) })
 	}
 	return c
@@ -254,6 +256,9 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if timing, delegated := c.delegatedTiming(now, kind); delegated {
+		return timing
+	}
 	factor := time.Duration(c.ownership.Gossip.IntervalFactor(now))
 	timing := mirrorer.Timing{WatchWait: watchWait, WatchDelay: watchDelay * factor}
 	switch {
@@ -267,6 +272,9 @@
 		timing.WatchWait = shortWatchWait
 	case kind == c.kinds.Shared: // The instance that writes a shared object sends it to the others.
 		timing.WatchWait, timing.ListInterval = 0, min(listInterval*factor, maxListInterval)
+		if c.delegates() && c.ownership.Gossip.Forwards() {
+			timing.ListInterval = listInterval // Those that follow this instance get the list's age with their copies.
+		}
 	}
 	return timing
 }
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -33,11 +33,14 @@
 type copyRequest struct {
 	Revisions      map[storer.ObjectKind]identifier.Version
 	SharedVersions map[string]identifier.Version `cbor:"Own"`
+	// Complete is, by kind, the revision at which the sender's copy was complete. Of these kinds it gets deltas.
+	Complete map[storer.ObjectKind]identifier.Version `cbor:",omitempty"`
 }
 
 // copyAnswer carries the requested copies, and the roster confirmations of an instance that can reach the store.
 type copyAnswer struct {
 	Copies        []mirrorer.Copy
+	Deltas        []mirrorer.Delta `cbor:",omitempty"`
 	Confirmations []gossiper.Confirmation
 	StoreUp       bool // Whether the platform's store answers the instance that sent the copies.
 	// ListedMsAgo is the age, in milliseconds, of the newest list of the shared objects among the copies; 0 if unknown.
@@ -59,6 +62,12 @@
 	}
 	c.mu.Unlock()
 	for kind, m := range c.mirrors {
+		if revision, ok := req.Complete[kind]; ok && kind != c.kinds.Shared {
+			if d, changed := m.DeltaSince(revision); changed {
+				answer.Deltas = append(answer.Deltas, d)
+			}
+			continue
+		}
 		copied, _ := m.Snapshot()
 		if kind == c.kinds.Shared {
 			copied.Objects = c.withNewestAllocations(copied.Objects)
@@ -111,13 +120,17 @@
 func (c *Conductor) copyLoop(ctx context.Context) {
 	next := 0
 	var behindAt time.Time // Since when another instance has had a newer allocation.
-	runEvery(ctx, copyInterval, nil, func() {
+	runEvery(ctx, copyInterval, c.copyTrigger, func() {
 		now := c.clock()
 		c.mu.Lock()
+		source := c.takeCopySource(now)
 		ahead, behind := c.ownership.PeerWithNewerAllocation(now)
 		down := !c.view.storeDownAt.IsZero() || c.view.table == nil
 		targets := c.copySources(now)
 		c.mu.Unlock()
+		if source != "" {
+			c.copyFrom(ctx, source)
+		}
 		switch {
 		case !behind:
 			behindAt = time.Time{}
@@ -140,23 +153,7 @@
 
 // copyFrom requests copies from the instance at an address and applies them.
 func (c *Conductor) copyFrom(ctx context.Context, address string) {
-	req := copyRequest{map[storer.ObjectKind]identifier.Version{}, map[string]identifier.Version{}}
-	for kind, m := range c.mirrors {
-		copied, _ := m.Snapshot()
-		req.Revisions[kind] = copied.NewestVersion()
-		if kind != c.kinds.Shared {
-			continue
-		}
-		for _, o := range copied.Objects {
-			req.SharedVersions[o.Name] = o.Version
-		}
-		c.mu.Lock()
-		for service, version := range c.ownership.Versions() {
-			req.SharedVersions[custodian.AllocationPrefix+string(service)] = version
-		}
-		c.mu.Unlock()
-	}
-	data, err := cbor.Marshal(req)
+	data, err := cbor.Marshal(c.newCopyRequest())
 	if err != nil {
 		c.log.WithField("Error", err).Error("request for copies does not encode, it is not sent")
 		return
@@ -174,6 +171,33 @@
 		c.log.WithFields(logrus.Fields{"Address": address, "Error": err}).Warning("copies of another instance do not decode, they are dropped")
 		return
 	}
+	c.applyCopies(askedAt, address, answer)
+}
+
+// newCopyRequest returns a request for what is newer than this instance's copies.
+func (c *Conductor) newCopyRequest() copyRequest {
+	req := copyRequest{Revisions: map[storer.ObjectKind]identifier.Version{}, SharedVersions: map[string]identifier.Version{}}
+	for kind, m := range c.mirrors {
+		copied, _ := m.Snapshot()
+		req.Revisions[kind] = copied.NewestVersion()
+		if kind != c.kinds.Shared {
+			continue
+		}
+		for _, o := range copied.Objects {
+			req.SharedVersions[o.Name] = o.Version
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, version := range c.ownership.Versions() {
+		req.SharedVersions[custodian.AllocationPrefix+string(service)] = version
+	}
+	req.Complete = c.completeRevisions()
+	return req
+}
+
+// applyCopies applies the copies that were requested at a time from the instance at an address.
+func (c *Conductor) applyCopies(askedAt time.Time, address string, answer copyAnswer) {
 	c.mu.Lock()
 	c.ownership.ApplyConfirmations(askedAt, answer.Confirmations)
 	if answer.StoreUp && askedAt.After(c.view.copiedAt) {
@@ -193,6 +217,11 @@
 			c.log.WithFields(logrus.Fields{"Address": address, "Kind": copied.Kind, "Revision": copied.Revision}).Info("copy of another instance is applied")
 		}
 	}
+	for _, d := range answer.Deltas {
+		if m, ok := c.mirrors[d.Kind]; ok && d.Kind != c.kinds.Shared && m.ApplyDelta(d) {
+			c.log.WithFields(logrus.Fields{"Address": address, "Kind": d.Kind, "Revision": d.Revision, "Changed": len(d.Changed)}).Info("changes in another instance's copy are applied")
+		}
+	}
 	if answer.ListedMsAgo > 0 {
 		c.mu.Lock()
 		c.apportioner.RecordListTime(askedAt.Add(-time.Duration(answer.ListedMsAgo) * time.Millisecond))
--- a/conductor/freshness.go
+++ b/conductor/freshness.go
@@ -22,7 +22,9 @@
 	switch {
 	case c.mirrors[c.kinds.Servers].Revision() == 0 || c.mirrors[c.kinds.Evacuations].Revision() == 0:
 		return c.startedAt.Add(-unknownViewAge)
-	case c.view.storeDownAt.IsZero(), c.storeDownForAll(now):
+	case c.view.storeDownAt.IsZero():
+		return c.delegationInformedAt(now)
+	case c.storeDownForAll(now):
 		return time.Time{}
 	case c.view.copiedAt.After(c.view.storeAnsweredAt):
 		return c.view.copiedAt
--- a/conductor/granting.go
+++ b/conductor/granting.go
@@ -220,7 +220,7 @@
 			return
 		}
 		listedAt = now
-		page, err := c.store.List(ctx, c.kinds.Servers)
+		page, err := c.calls(reasonVerify).List(ctx, c.kinds.Servers)
 		if err != nil {
 			c.recordStoreCall(c.kinds.Servers, err)
 			return
@@ -249,7 +249,7 @@
 // copy is at least as new as the list. It returns false if the call failed.
 func (c *Conductor) listShared(ctx context.Context) bool {
 	requestedAt := c.clock()
-	page, err := c.store.List(ctx, c.kinds.Shared)
+	page, err := c.calls(reasonShared).List(ctx, c.kinds.Shared)
 	c.recordStoreCall(c.kinds.Shared, err)
 	if err != nil {
 		return false
--- a/conductor/malformed_test.go
+++ b/conductor/malformed_test.go
@@ -33,7 +33,7 @@
 		LostServers:   []gossiper.ServerIncarnation{{Server: "x", Incarnation: 1}}, ReplacedServers: []gossiper.ServerIncarnation{{Server: "y", Incarnation: 2}},
 		Crashes:        []quarantiner.Crash{{Fingerprint: 5, Run: quarantiner.Run{Server: "x", ServerIncarnation: 1}}},
 		KeyRates:       map[identifier.Service]allocator.Sketch{"s": {Ends: []identifier.ShardKey{100, identifier.MaxShardKey}, Rates: []float32{3, float32(math.NaN())}}},
-		NewestVersions: map[storer.ObjectKind]identifier.Version{"servers": 3}, AllocationVersions: map[identifier.Service]identifier.Version{"s": 4},
+		NewestVersions: map[storer.ObjectKind]identifier.Version{"servers": 3}, ChangedRevisions: map[storer.ObjectKind]identifier.Version{"servers": 3}, AllocationVersions: map[identifier.Service]identifier.Version{"s": 4},
 		WrittenObjects:   []storer.Object{{Name: "roster.a", Version: 3, Data: []byte(`{"Cell":{"Zone":"a"}}`)}, {Name: "allocation.s", Version: 2, Data: []byte("{")}},
 		AllocationDeltas: []allocator.Delta{{Service: "s", Version: 5, NextEpoch: 2, Changed: []allocator.Segment{segment}}},
 		RunningRequests:  map[identifier.BackendServer]int{"x": 1}, WaitingRequests: map[identifier.BackendServer]int{"x": -5},
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -207,6 +207,7 @@
 	for kind := range c.lagDetectors {
 		s.NewestVersions[kind] = c.mirrors[kind].NewestVersion()
 	}
+	s.ChangedRevisions = c.changedRevisions()
 	c.addRecentWrites(now, &s)
 	s.RunningRequests, s.WaitingRequests = c.scheduler.RunningByServer(), c.scheduler.WaitingByServer()
 	kept := c.crashReports[:0]
@@ -396,6 +397,9 @@
 		return
 	}
 	c.historyLostBefore = after
+	if c.delegation.active {
+		return // The relay lists the kinds again, and its copies tell what has changed.
+	}
 	for kind, m := range c.mirrors {
 		if copied, _ := m.Snapshot(); kind != c.kinds.Shared && copied.Revision < after {
 			m.Relist()
@@ -406,6 +410,10 @@
 // relistIfBehind lists a kind again if another instance has had a newer object of it for longer
 // than a watch takes to deliver it. The caller holds the lock.
 func (c *Conductor) relistIfBehind(now time.Time, s gossiper.State) {
+	if c.delegation.active {
+		c.copyIfSourceChanged(s)
+		return
+	}
 	eventDelay := watchDelay * time.Duration(c.ownership.Gossip.IntervalFactor(now))
 	for kind, lag := range c.lagDetectors {
 		timeout := watchLag
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -42,7 +42,8 @@
 		up := c.ownership.StoreUp()
 		settled := now.Sub(c.startedAt) >= custodian.DiscoveryTime
 		plans := c.ownership.ShouldPlan(now)
-		watches := c.watchesForOthers(now)
+		// Each instance takes itself for the planner until it has heard the others.
+		watches := settled && c.watchesForOthers(now)
 		if watches && !c.watchedForOthers {
 			c.mirrors[c.kinds.Config].Relist() // Its present watch may wait for up to watchWait.
 		}
@@ -179,6 +180,7 @@
 		if c.refreshDue {
 			c.refresh(now)
 		}
+		c.updateDelegation(now)
 		c.updateFreshness(now)
 		c.scope.Gauge("ViewAge").Update(c.viewAge(now).Seconds())
 		c.logSharers(now)
--- a/conductor/records.go
+++ b/conductor/records.go
@@ -101,7 +101,7 @@
 	m, name := gone.member, memberPrefix+string(gone.Instance)
 	fields := logrus.Fields{"Instance": m.Instance, "Version": gone.version}
 	if m.Ended {
-		err := c.store.Delete(ctx, c.kinds.Shared, name, gone.version)
+		err := c.calls(reasonWrite).Delete(ctx, c.kinds.Shared, name, gone.version)
 		var conflict *storer.ConflictError
 		if err != nil && !errors.As(err, &conflict) {
 			c.log.WithFields(fields).WithField("Error", err).Warning("record of an instance that is gone was not removed, it is tried again")
--- a/conductor/rosters.go
+++ b/conductor/rosters.go
@@ -74,7 +74,7 @@
 // put writes a shared object if its version in the store is still expected, and returns the new version. If the write
 // fails it lists the shared objects; ok is false then.
 func (c *Conductor) put(ctx context.Context, name string, expected identifier.Version, data []byte) (v identifier.Version, ok bool) {
-	v, err := c.store.Put(ctx, c.kinds.Shared, name, expected, data)
+	v, err := c.calls(reasonWrite).Put(ctx, c.kinds.Shared, name, expected, data)
 	var conflict *storer.ConflictError
 	switch {
 	case err == nil:
@@ -127,10 +127,15 @@
 func (c *Conductor) onNoRoster() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return !c.isOnRoster()
+}
+
+// isOnRoster reports whether this process is on a roster. The caller holds the lock.
+func (c *Conductor) isOnRoster() bool {
 	for cell := range c.ownership.Rosters() {
 		if c.ownership.OnRoster(cell) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -85,6 +85,9 @@
 	// NewestVersions is, by kind of the platform's objects, the highest version of an object that the
 	// sender has.
 	NewestVersions map[storer.ObjectKind]identifier.Version
+	// ChangedRevisions is, by kind of the platform's objects, the revision at which the sender's copy last changed. Only
+	// relays set it, for the instances that follow them.
+	ChangedRevisions map[storer.ObjectKind]identifier.Version
 	// AllocationVersions is, by service, the version of the allocation that the sender has.
 	AllocationVersions map[identifier.Service]identifier.Version
 	WrittenObjects     []storer.Object                  // Objects that the sender has just written.
@@ -143,9 +146,10 @@
 	relayWeight uint64
 	refs        map[uint32]*Peer
 	loads       map[identifier.Zone]receivedLoad
-	sent        State // The state that was composed last.
-	relayed     bool  // Whether states are relayed, since there are many instances.
-	forwards    bool  // Whether this instance relays.
+	sent        State                 // The state that was composed last.
+	relayed     bool                  // Whether states are relayed, since there are many instances.
+	forwards    bool                  // Whether this instance relays.
+	ownRelays   []identifier.Instance // The other relays of this instance's zone, by rank.
 }
 
 // New returns a Gossiper for the process that self describes, by its instance, incarnation, zone,
--- a/gossiper/relay.go
+++ b/gossiper/relay.go
@@ -117,7 +117,7 @@
 	zones := g.byZone(now)
 	own := zones[g.self.Zone]
 	isRelay := slices.Contains(own.relays, nil)
-	g.forwards = isRelay
+	g.forwards, g.ownRelays = isRelay, instances(own.relays)
 	for zone, z := range zones {
 		switch {
 		case zone == g.self.Zone:
@@ -195,6 +195,17 @@
 	return zones
 }
 
+// instances returns the names of peers without nil, which stands for this instance.
+func instances(peers []*Peer) []identifier.Instance {
+	var names []identifier.Instance
+	for _, p := range peers {
+		if p != nil {
+			names = append(names, p.Instance)
+		}
+	}
+	return names
+}
+
 // relayWeight returns the weight by which an instance ranks among the possible relays of its zone.
 func relayWeight(i identifier.Instance) uint64 { return ranker.Weight("relay", string(i)) }
 
@@ -333,5 +344,23 @@
 // Forwards reports whether this instance relays, and so passes on what others have written.
 func (g *Gossiper) Forwards() bool { return g.forwards }
 
+// Source returns the relay whose copies this instance can use in place of calls to the platform's store: of the relays of
+// its zone, the first whose state came within the given time and says that the store answers it. It returns nil if there
+// is none, or if this instance relays itself.
+func (g *Gossiper) Source(now time.Time, within time.Duration) *Peer {
+	if !g.relayed || g.forwards {
+		return nil
+	}
+	for _, i := range g.ownRelays {
+		if p := g.peers[i]; p != nil && p.StoreUp && !p.Leaving && now.Sub(p.receivedAt) < within {
+			return p
+		}
+	}
+	return nil
+}
+
+// ReceivedAt returns when the newest state came from the instance itself; zero if none did.
+func (p *Peer) ReceivedAt() time.Time { return p.receivedAt }
+
 // Relayed reports whether states are relayed, because there are many instances.
 func (g *Gossiper) Relayed() bool { return g.relayed }
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -44,6 +44,8 @@
 	WatchWait    time.Duration // How long a watch waits; 0 if the kind is listed instead of watched.
 	WatchDelay   time.Duration // Time between an event and the next watch.
 	ListInterval time.Duration // Time between two lists of a kind that is not watched.
+	// Delegated says that copies of another instance take the place of watches, until Relist is called.
+	Delegated bool
 }
 
 // Mirror is the copy of one kind. It is safe for concurrent use.
@@ -59,6 +61,7 @@
 	mu          sync.Mutex
 	objects     map[string]storer.Object
 	revision    identifier.Version
+	changed     identifier.Version // The revision at which the copy last changed.
 	requestedAt time.Time          // When the newest list was requested.
 	cancelRound context.CancelFunc // Cancels the present watch, so that the kind is listed again.
 	listing     bool               // A list is under way.
@@ -121,6 +124,10 @@
 	}
 	for {
 		timing := m.timing(m.kind)
+		if timing.Delegated {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if timing.WatchWait == 0 {
 			clocker.Sleep(ctx, timing.ListInterval)
 			return ctx.Err()
@@ -200,6 +207,9 @@
 			objects[name] = o
 		}
 	}
+	if !sameVersions(m.objects, objects) {
+		m.changed = c.Revision
+	}
 	m.objects, m.revision = objects, c.Revision
 	if requestedAt.After(m.requestedAt) {
 		m.requestedAt = requestedAt
@@ -243,6 +253,9 @@
 		}
 	}
 	m.revision = max(m.revision, e.Revision)
+	if changed {
+		m.changed = m.revision
+	}
 	m.mu.Unlock()
 	if changed {
 		m.onChange(m.kind)
