--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 
 // ServeHTTP serves one request of a caller. It returns when the answer is written.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := f.clock()
+	arrived := f.arrivalTime(r.Context())
 	held := f.memory.Open()
 	defer held.Close()
 	req, res := f.parse(arrived, w, r, held)
