conductor: package pipeliner serves callers where the settings list the contract pressure

With the contract, the front listener is served by package pipeliner instead of net/http's server; without it by the same server as before. Metrics: PipelinedRequests, PipelineDepth, RequestsNotRead, AnswersPaused.

The tests of planned stops, of broken answers, slow callers and slow bodies run with both servers.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -162,6 +162,7 @@
 		DrainTime: s.Bounds.DrainTime, EvacuationTime: s.Bounds.EvacuationTime,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetryExtra: s.Bounds.RetryExtra,
 		ColdOvershoot: s.Bounds.ColdOvershoot, ColdSlack: s.Bounds.ColdSlack,
+		PipelinedRequests: s.PipelinedRequests,
 	}
 	for _, seed := range s.Seeds {
 		out.Seeds = append(out.Seeds, address(seed, s.PeerPort))
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,7 +5,7 @@
 //
 // Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects, freshness.go
 // tracks how old what it shows may be, and leaving.go what servers say of themselves in answers.
-// requests.go serves the requests of callers (it implements forwarder.Core), planning.go plans
+// front.go chooses the server of callers' connections. requests.go serves their requests (it implements forwarder.Core), planning.go plans
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
 // objects, and records.go keeps the records of the instances among which bounds are divided. peers.go
 // exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
@@ -88,6 +88,9 @@
 	RetryExtra       float64
 	ColdOvershoot    float64
 	ColdSlack        float64
+	// PipelinedRequests says that callers send further requests before the first is answered, so that package pipeliner
+	// serves their connections.
+	PipelinedRequests bool
 }
 
 // Store is the client of the platform's store. Put writes an object if its present version is
@@ -330,20 +333,15 @@
 		c.tasks.Go(m.Run)
 	}
 	callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.bodies, c.clock, c.log.WithField("Subsystem", "requests"))
-	front := &http.Server{
-		Handler:           callers,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
-		ConnContext: forwarder.WithCallerConn,
-	}
+	front := c.newFront(callers)
 	ready := &http.Server{Handler: http.HandlerFunc(c.serveReady), ReadHeaderTimeout: headerTimeout}
 	ops := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	listenerErrors := make(chan error, 3)
-	for address, server := range map[string]*http.Server{
+	for address, server := range map[string]httpServer{
 		c.settings.FrontAddress: front, c.settings.ReadyAddress: ready, c.settings.MetricsAddress: ops,
 	} {
-		server.Addr = address
 		c.tasks.Go(func(context.Context) {
-			if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			if err := listenAndServe(server, address); !errors.Is(err, http.ErrServerClosed) {
 				listenerErrors <- err
 			}
 		})
@@ -355,7 +353,7 @@
 	case <-ctx.Done():
 		c.drain(callers, front)
 	}
-	for _, server := range []*http.Server{front, ready, ops} {
+	for _, server := range []httpServer{front, ready, ops} {
 		_ = server.Close() // The grace time is over for whatever is still running.
 	}
 	c.log.Info("instance stopped")
@@ -384,7 +382,7 @@
 
 // drain leaves the rosters, stops accepting connections and waits for running requests, all within
 // the grace time.
-func (c *Conductor) drain(callers *forwarder.Forwarder, front *http.Server) {
+func (c *Conductor) drain(callers *forwarder.Forwarder, front httpServer) {
 	remaining := c.settings.GraceTime - exitReserve
 	end := time.Now().Add(remaining)
 	now := c.clock()
--- a/conductor/drain_test.go
+++ b/conductor/drain_test.go
@@ -48,6 +48,15 @@
 // connection where an answer says so, and leave one that was idle for longer than an answer allowed.
 func TestPlannedStopKeepsRequests(t *testing.T) {
 	t.Parallel()
+	for name, pipelined := range map[string]bool{"Standard": false, "Pipeliner": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testPlannedStopKeepsRequests(t, pipelined)
+		})
+	}
+}
+
+func testPlannedStopKeepsRequests(t *testing.T, pipelined bool) {
 	now := time.Now()
 	c := newIdle(&now)
 	c.settings.GraceTime = 6 * time.Second
@@ -56,7 +65,8 @@
 		t.Fatal(err)
 	}
 	callers := forwarder.New(forwarder.HeaderNames{RequestID: "Id"}, nil, c, c.bodies, time.Now, c.log)
-	front := &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout}
+	c.settings.PipelinedRequests, c.clock = pipelined, time.Now
+	front := c.newFront(callers)
 	go func() { _ = front.Serve(slowListener{listener}) }()
 	stopped := make(chan struct{})
 	var cut, answered sync.Map
--- a/conductor/stop_test.go
+++ b/conductor/stop_test.go
@@ -83,6 +83,12 @@
 // connections that were opened some time before, and over kept ones, and take long; those that may run once only are
 // answered with what the backend server said, or refused and not run.
 func TestPlannedStopAnswersAll(t *testing.T) {
+	for name, pipelined := range map[string]bool{"Standard": false, "Pipeliner": true} {
+		t.Run(name, func(t *testing.T) { testPlannedStopAnswersAll(t, pipelined) })
+	}
+}
+
+func testPlannedStopAnswersAll(t *testing.T, pipelined bool) {
 	for name, idempotent := range map[string]bool{"RunOnce": false, "Idempotent": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -105,10 +111,14 @@
 			c.refresh(time.Now())
 			c.mu.Unlock()
 			callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.bodies, c.clock, c.log)
-			front := httptest.NewUnstartedServer(callers)
-			front.Start()
-			address := front.Listener.Addr().String()
-			answers := playPlannedStop(c, callers, front.Config, address)
+			c.settings.PipelinedRequests = pipelined
+			front := c.newFront(callers)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = front.Serve(listener) }()
+			answers := playPlannedStop(c, callers, front, listener.Addr().String())
 			recorder.mu.Lock()
 			defer recorder.mu.Unlock()
 			counts := map[int]int{}
@@ -136,7 +146,7 @@
 
 // playPlannedStop lets callers send requests to an instance that stops, until it has stopped. It returns what they saw of
 // those whose connection was accepted.
-func playPlannedStop(c *Conductor, callers *forwarder.Forwarder, front *http.Server, address string) []stopAnswer {
+func playPlannedStop(c *Conductor, callers *forwarder.Forwarder, front httpServer, address string) []stopAnswer {
 	stopAt := time.Now().Add(time.Second)
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/forwarder"
+	"github.com/turmericlift/turmericlift/pipeliner"
 	"github.com/turmericlift/turmericlift/rationer"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/scheduler"
@@ -37,8 +38,8 @@
 }
 
 // startForwarder starts a Forwarder in front of a backend server that answers each connection's first request with write,
-// and returns its address.
-func startForwarder(t testing.TB, write func(net.Conn)) string {
+// and returns its address. Callers' connections are served by package pipeliner or by net/http's server.
+func startForwarder(t testing.TB, pipelined bool, write func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,13 +63,48 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	k := &socketCore{core{table: table(), retries: true}, exchanger.NewPool(l.Addr().String(), 100, time.Now)}
-	server := httptest.NewUnstartedServer(forwarder.New(names, noNotice, k, rationer.New(1<<20), time.Now, logrus.NewEntry(log)))
+	f := forwarder.New(names, noNotice, k, rationer.New(1<<20), time.Now, logrus.NewEntry(log))
+	if pipelined {
+		return startPipeliner(t, f)
+	}
+	server := httptest.NewUnstartedServer(f)
 	server.Config.ConnContext = forwarder.WithCallerConn
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
 
+// startPipeliner serves callers' connections by package pipeliner and returns the address.
+func startPipeliner(t testing.TB, f *forwarder.Forwarder) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := pipeliner.New(pipeliner.Settings{HeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 64 << 10, RequestContext: forwarder.WithArrival},
+		f, noEvents{}, time.Now, logrus.NewEntry(log))
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// noEvents is a pipeliner.Observer that counts nothing.
+type noEvents struct{}
+
+func (noEvents) RequestStarted(int)  {}
+func (noEvents) RequestsNotRead(int) {}
+func (noEvents) AnswerPaused()       {}
+
+// bothServers runs a test with net/http's server and with package pipeliner.
+func bothServers(t *testing.T, test func(t *testing.T, pipelined bool)) {
+	t.Helper()
+	for name, pipelined := range map[string]bool{"Standard": false, "Pipeliner": true} {
+		t.Run(name, func(t *testing.T) { test(t, pipelined) })
+	}
+}
+
 const (
 	largeBytes = 600000
 	largeHead  = "HTTP/1.1 200 OK\r\nSeal: sealed\r\n"
@@ -78,6 +114,10 @@
 // part of a large answer is on its way to the caller before the rest is known.
 func TestBrokenOff(t *testing.T) {
 	t.Parallel()
+	bothServers(t, testBrokenOff)
+}
+
+func testBrokenOff(t *testing.T, pipelined bool) {
 	half := strings.Repeat("x", largeBytes/2)
 	cases := map[string]struct {
 		answer   string
@@ -95,7 +135,7 @@
 		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 			t.Run(name+strings.TrimPrefix(protocol, "HTTP/"), func(t *testing.T) {
 				t.Parallel()
-				address := startForwarder(t, func(server net.Conn) {
+				address := startForwarder(t, pipelined, func(server net.Conn) {
 					_, _ = io.WriteString(server, c.answer)
 					if c.reset {
 						time.Sleep(50 * time.Millisecond) // The first part is on its way to the caller.
@@ -128,13 +168,15 @@
 
 // TestSlowCallers guards against callers that read slowly or not at all: large answers to them must not fill the memory,
 // hold up other callers, or keep their connections beyond the deadline.
-func TestSlowCallers(t *testing.T) {
+func TestSlowCallers(t *testing.T) { bothServers(t, testSlowCallers) }
+
+func testSlowCallers(t *testing.T, pipelined bool) {
 	const slowCallers = 40
 	const answerBytes = 64 << 20
 	block := []byte(strings.Repeat("x", 1<<20))
 	var open sync.WaitGroup
 	open.Add(slowCallers)
-	address := startForwarder(t, func(server net.Conn) {
+	address := startForwarder(t, pipelined, func(server net.Conn) {
 		if _, err := io.WriteString(server, largeHead+"Content-Length: 67108864\r\n\r\n"); err != nil {
 			return
 		}
@@ -178,7 +220,11 @@
 // TestSlowBody guards against a caller that never completes the body of its request and holds a goroutine for good.
 func TestSlowBody(t *testing.T) {
 	t.Parallel()
-	address := startForwarder(t, func(net.Conn) {})
+	bothServers(t, testSlowBody)
+}
+
+func testSlowBody(t *testing.T, pipelined bool) {
+	address := startForwarder(t, pipelined, func(net.Conn) {})
 	caller, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
