pipeliner: bounds of time, a bound of held answers over all connections, costs

Answers that wait for others hold at most 0.05 of the process's memory over all connections: 1,000 connections with 256 KiB each would exceed a machine of 144 MB. A body that a handler leaves unread is discarded for at most 1 s. Handlers that wait for room end when their caller leaves.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -38,6 +38,8 @@
 	// rest of the heap they stay below the soft limit.
 	bodyMemoryShare = 0.35
 	peerMemoryShare = 0.1
+	// answerMemoryShare is the share of the process's memory that answers may hold which wait for others of their connections.
+	answerMemoryShare = 0.05
 	// defaultMemoryBytes is the memory that the shares are of if the settings file does not state it.
 	defaultMemoryBytes = 512 << 20
 	// gcPercent is the growth of the heap, in per cent of the live heap, after which the garbage collector runs. The live
@@ -156,7 +158,7 @@
 		Instance: s.Instance, Zone: s.Zone, FrontAddress: s.FrontAddress, ReadyAddress: s.ReadyAddress,
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		PeerAddress: address(s.IP, s.PeerPort), MetricsAddress: address(s.IP, s.MetricsPort),
-		BodyMemory: int64(bodyMemoryShare * memory), PeerMemory: int64(peerMemoryShare * memory),
+		BodyMemory: int64(bodyMemoryShare * memory), PeerMemory: int64(peerMemoryShare * memory), AnswerMemory: int64(answerMemoryShare * memory),
 		Heartbeat: s.Heartbeat, MaxLeaseDuration: s.Bounds.MaxLeaseDuration, GraceTime: s.Bounds.GraceTime,
 		Capacity:  min(s.Cores, s.LinkMbps/linkMbpsPerCore),
 		DrainTime: s.Bounds.DrainTime, EvacuationTime: s.Bounds.EvacuationTime,
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -77,6 +77,7 @@
 	MetricsAddress   string
 	Seeds            []string      // Peer addresses at which other instances may run.
 	BodyMemory       int64         // Bytes that the bodies of callers' requests may hold together.
+	AnswerMemory     int64         // Bytes that answers may hold together which wait for others of their connections.
 	PeerMemory       int64         // Bytes that messages and answers of other instances may hold together.
 	Heartbeat        time.Duration // Time between two writes of a backend server's entry.
 	MaxLeaseDuration time.Duration // Longest lease duration of a grant that the platform allows.
--- a/conductor/front.go
+++ b/conductor/front.go
@@ -28,7 +28,7 @@
 		}
 	}
 	return pipeliner.New(pipeliner.Settings{
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, RequestContext: forwarder.WithArrival,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, MaxHeldBytes: c.settings.AnswerMemory, RequestContext: forwarder.WithArrival,
 	}, callers, newPipelineMetrics(c.scope), c.clock, c.log.WithField("Subsystem", "connections"))
 }
 
--- a/pipeliner/answer.go
+++ b/pipeliner/answer.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -265,9 +266,8 @@
 			c.unlocked(func() { err = c.write(p) })
 			return err
 		}
-		n := min(len(p), maxHeldAnswer-x.held.Len(), maxHeldAnswers-c.held)
-		x.held.Write(p[:n])
-		c.held += n
+		n := min(len(p), max(x.room(), 1)) // Others may have taken the room since awaitRoom.
+		x.hold(func(b *bytes.Buffer) { b.Write(p[:n]) })
 		p = p[n:]
 	}
 	return nil
@@ -279,10 +279,13 @@
 	c := x.c
 	paused := false
 	for c.failed == nil && x.state != live {
-		full := x.held.Len() >= maxHeldAnswer || c.held >= maxHeldAnswers
+		full := x.room() <= 0
 		if x.state == waits && !full {
 			return nil
 		}
+		if c.left && x.state == waits {
+			return errEnded
+		}
 		if full && !paused {
 			paused = true
 			c.server.observer.AnswerPaused()
--- a/pipeliner/body.go
+++ b/pipeliner/body.go
@@ -60,7 +60,7 @@
 		return false // The caller has not sent it, or there is too much of it.
 	}
 	if b.x.readDeadline.IsZero() {
-		_ = b.x.SetReadDeadline(time.Now().Add(b.x.c.server.settings.HeaderTimeout)) // It never fails.
+		_ = b.x.SetReadDeadline(time.Now().Add(discardTime)) // It never fails.
 	}
 	_, err := io.CopyN(io.Discard, readerFunc(b.readMore), maxDiscarded+1)
 	return errors.Is(err, io.EOF) && b.complete
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -45,6 +46,7 @@
 	awaits    bool      // The reading goroutine waits for the first byte of a request.
 	idleAt    time.Time // When the last answer was written.
 	last      bool      // No further request starts.
+	left      bool      // The caller has left.
 	ended     bool      // The last answer was written.
 	failed    error     // Nothing can be written any more.
 
@@ -59,7 +61,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	c.moved.L = &c.mu
-	c.in = input{rwc: rwc, clock: s.clock, timeout: s.settings.HeaderTimeout, left: c.cancel}
+	c.in = input{rwc: rwc, clock: s.clock, timeout: s.settings.HeaderTimeout, left: c.leave}
 	c.reader = readers.Get().(*bufio.Reader)
 	c.reader.Reset(&c.in)
 	return c
@@ -100,7 +102,6 @@
 		case c.failed != nil || c.ended:
 			return false
 		case !isTimeout(err):
-			c.last = true
 			return false
 		case c.first == nil && time.Since(c.idleAt) >= c.idleTimeout():
 			return false
@@ -183,8 +184,7 @@
 	c.watching = false
 	c.setReadDeadline(c.server.settings.IdleTimeout)
 	if left {
-		c.cancel()
-		c.last = true
+		c.leaveLocked()
 	}
 }
 
@@ -201,7 +201,7 @@
 // the lock.
 func (c *conn) dropPending() {
 	c.server.observer.RequestsNotRead(1)
-	for c.failed == nil && !c.ended && c.ctx.Err() == nil {
+	for c.failed == nil && !c.ended && !c.left {
 		c.waitTurn()
 	}
 }
@@ -229,7 +229,6 @@
 func (c *conn) refuse(err error) {
 	text, status := errorAnswer(err)
 	x := &exchange{c: c, done: true, writeDeadline: time.Now().Add(queuedWriteTime)}
-	x.held.WriteString(text)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if text != "" {
@@ -241,13 +240,13 @@
 		return
 	}
 	c.server.warn("request of a caller could not be read", logrus.Fields{"Caller": c.remote, "Status": status, "Error": err, "MaxHeaderBytes": c.server.settings.MaxHeaderBytes})
-	c.held += len(text)
+	x.hold(func(b *bytes.Buffer) { b.WriteString(text) })
 	c.push(x)
 	if c.first == x {
 		c.writeHeld(x)
 		c.advance()
 	}
-	for c.failed == nil && !c.ended && c.ctx.Err() == nil {
+	for c.failed == nil && !c.ended && !c.left {
 		c.waitTurn()
 	}
 }
@@ -266,6 +265,20 @@
 	c.wake()
 }
 
+// leave says that the caller has left: all its requests end.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaveLocked()
+}
+
+// leaveLocked says that the caller has left. The caller of leaveLocked holds the lock.
+func (c *conn) leaveLocked() {
+	c.left, c.last = true, true
+	c.cancel()
+	c.moved.Broadcast()
+}
+
 // fail ends the connection at once.
 func (c *conn) fail() {
 	c.mu.Lock()
@@ -317,6 +330,9 @@
 	for c.handlers > 0 {
 		c.moved.Wait()
 	}
+	for x := c.first; x != nil; x = x.next { // They have lost their connection.
+		x.dropHeld()
+	}
 	c.mu.Unlock()
 	c.cancel()
 	c.reader.Reset(nil)
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -25,8 +26,8 @@
 	broken          bool // The answer is not complete.
 	sent            bool // A part of the answer was written.
 	bodyRead        bool
-	held            bytes.Buffer
-	headEnd         int // The size of the head in held without its end, 0 if it is complete.
+	held            *bytes.Buffer // What is held of the answer; nil if nothing is.
+	headEnd         int           // The size of the head in held without its end, 0 if it is complete.
 	writeDeadline   time.Time
 	deadlineApplied bool
 	waited          bool // It was held for a time.
@@ -52,3 +53,44 @@
 	x.wantsKeepAlive = !r.ProtoAtLeast(1, 1) && !r.Close
 	return x
 }
+
+var heldBuffers = sync.Pool{New: func() any { return bytes.NewBuffer(make([]byte, 0, 1<<10)) }}
+
+// heldBytes returns the size of what is held of the answer. The caller holds the lock of the connection.
+func (x *exchange) heldBytes() int {
+	if x.held == nil {
+		return 0
+	}
+	return x.held.Len()
+}
+
+// room returns how many bytes of the answer can be held beside what is. Connections that find room at the same moment may
+// exceed the bound of the server, each by its answer. The caller holds the lock of the connection.
+func (x *exchange) room() int {
+	c := x.c
+	shared := c.server.settings.MaxHeldBytes - c.server.held.Load()
+	return int(min(int64(min(maxHeldAnswer-x.heldBytes(), maxHeldAnswers-c.held)), shared))
+}
+
+// hold calls write to add to what is held of the answer. The caller holds the lock of the connection.
+func (x *exchange) hold(write func(*bytes.Buffer)) {
+	if x.held == nil {
+		x.held = heldBuffers.Get().(*bytes.Buffer)
+	}
+	before := x.held.Len()
+	write(x.held)
+	x.c.held += x.held.Len() - before
+	x.c.server.held.Add(int64(x.held.Len() - before))
+}
+
+// dropHeld ends the holding of the answer. The caller holds the lock of the connection.
+func (x *exchange) dropHeld() {
+	if x.held == nil {
+		return
+	}
+	x.c.held -= x.held.Len()
+	x.c.server.held.Add(-int64(x.held.Len()))
+	x.held.Reset()
+	heldBuffers.Put(x.held)
+	x.held = nil
+}
--- a/pipeliner/head.go
+++ b/pipeliner/head.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -40,9 +41,8 @@
 		c.wake()
 	}
 	if x.state != live {
-		plan.write(&x.held, x)
+		x.hold(func(b *bytes.Buffer) { plan.write(b, x) })
 		x.headEnd = x.held.Len()
-		c.held += x.headEnd
 		return nil
 	}
 	if !x.deadlineApplied {
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -34,6 +34,8 @@
 	// maxDiscarded bounds what is read of a body that the handler has left unread, in bytes, so that the connection can be
 	// used again. It is the bound of net/http.
 	maxDiscarded = 256 << 10
+	// discardTime bounds the time in which this is read, unless the handler has set a deadline for the body.
+	discardTime = time.Second
 	// queuedWriteTime is the least time in which a caller must have read an answer that waited for others: the time that
 	// its handler has set may have passed while it waited.
 	queuedWriteTime = 2 * time.Second
@@ -66,6 +68,8 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the head of a request, in bytes.
 	MaxHeaderBytes int
+	// MaxHeldBytes bounds what is held of all answers that wait for others on their connections, in bytes.
+	MaxHeldBytes int64
 	// RequestContext returns the context of a request whose first byte arrived at a time.
 	RequestContext func(ctx context.Context, arrived time.Time) context.Context
 }
@@ -93,6 +97,7 @@
 	cancel   context.CancelFunc
 	work     chan *exchange // For idle workers.
 	stopping atomic.Bool    // Set under the lock.
+	held     atomic.Int64   // Bytes of answers that wait for others.
 
 	mu          sync.Mutex
 	listeners   map[net.Listener]struct{}
--- a/pipeliner/queue.go
+++ b/pipeliner/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"sync"
 	"time"
@@ -115,7 +114,7 @@
 // writes nothing. The caller holds the lock, which is released while it writes.
 func (c *conn) writeHeld(x *exchange) {
 	x.state, x.waited = flushes, true
-	if x.held.Len() > 0 && !x.broken {
+	if x.held != nil && !x.broken {
 		x.sent = true
 		c.applyWriteDeadline(x, true)
 		held, headEnd, closes, last := x.held.Bytes(), x.headEnd, x.next == nil && c.last, x.done
@@ -130,8 +129,7 @@
 			}
 		})
 	}
-	c.held -= x.held.Len()
-	x.held = bytes.Buffer{}
+	x.dropHeld()
 	x.state = live
 	c.wake()
 }
@@ -148,6 +146,7 @@
 
 // becomeIdle says that no request is under way after x. The caller holds the lock.
 func (c *conn) becomeIdle(x *exchange) {
+	c.writer.Reset(nil)
 	writers.Put(c.writer)
 	c.writer, c.newest = nil, nil
 	c.idleAt = time.Now()
