storer, mirrorer, identifier: versions are ordered by the store's era, then by revision

Cause: a store that comes back from a copy gives out revisions again, so revisions of two eras do not compare. Change: a version holds the era above the revision. The client joins and splits them, refuses writes and watches at a version of an older era, reports the outcome of a write across a restore as unknown, and drops late answers of an older era. A missing or malformed header is not a new era. Without the header, versions are bare revisions as before. The simulated store and its HTTP handler learn to be restored.

--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -79,7 +79,7 @@
 type Term uint64
 
 // Version is the platform's version of an object: the store's revision at the last write of the
-// object. The versions of all objects therefore share one order.
+// object, below the store's era. The versions of all objects therefore share one order. See era.go.
 type Version uint64
 
 // Key is a caller's key within a keyed service.
--- a/imitator/objects.go
+++ b/imitator/objects.go
@@ -28,6 +28,7 @@
 	revision identifier.Version
 	changed  chan struct{} // Closed and replaced at each change of an object or of the faults.
 	faults   ObjectStoreFaults
+	era      identifier.Era // 0: the store states no era.
 }
 
 // change is one entry of the history.
@@ -140,7 +141,7 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		if from < s.oldest {
+		if from < s.oldest || from > s.revision {
 			s.mu.Unlock()
 			return storer.Events{}, true
 		}
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -165,3 +165,26 @@
 	cancel()
 	<-m.Done()
 }
+
+// TestEras guards against a mirror that keeps an object which is gone after the store came back from a copy, or that
+// goes back to an answer of the former era which arrives late: revisions are lower after a restore, and eras go first.
+func TestEras(t *testing.T) {
+	t.Parallel()
+	former, present := identifier.Era(1), identifier.Era(2)
+	nothing := func(storer.ObjectKind) {}
+	m := mirrorer.New("thing", nil, nil, time.Now, nothing, nil, nil)
+	m.ApplyList(mirrorer.Copy{Kind: "thing", Revision: former.Version(50), Objects: []storer.Object{
+		{Name: "a", Version: former.Version(40)}, {Name: "lost", Version: former.Version(45)}}}, time.Unix(1, 0))
+	if !m.ApplyList(mirrorer.Copy{Kind: "thing", Revision: present.Version(42), Objects: []storer.Object{{Name: "a", Version: present.Version(40)}}}, time.Unix(2, 0)) {
+		t.Error("list of the new era was not applied")
+	}
+	if _, ok := m.Get("lost"); ok {
+		t.Error("object that is gone in the new era is kept")
+	}
+	if m.ApplyList(mirrorer.Copy{Kind: "thing", Revision: former.Version(51)}, time.Unix(3, 0)) {
+		t.Error("late list of the former era was applied")
+	}
+	if changed := m.Merge([]storer.Object{{Name: "a", Version: former.Version(60)}}); len(changed) > 0 {
+		t.Error("late object of the former era was applied")
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -7,6 +7,8 @@
 //
 // Start in storer.go, which has the objects and the errors. client.go has the Client for a platform
 // with one name space of objects, and kinds.go the client for a platform that groups them in kinds.
+// Such a platform may come back from a copy. Then its era rises, and versions of the eras before are below all new ones
+// (era.go).
 package storer
 
 import (
