custodian, conductor: keys keep their owners while the store comes back from a copy

Cause: after a restore, allocations, rosters and records that were acknowledged are gone, so a granter that reads the store could give keys to a former owner, or a planner could pass over a granter. Change: objects of this system count in an era only if their content was written for it. Processes go on granting under their last confirmation of the former era; rosters, and then allocations, are written again under epochs above all former ones, once all instances on record have reported or their grants have lapsed. Records, evacuations and entries that are missing are retained for a bounded time. Without the header nothing changes.

--- a/allocator/allocation.go
+++ b/allocator/allocation.go
@@ -126,6 +126,8 @@
 	Servers map[identifier.BackendServer]Server
 	// KeyRates is nil if no request rates are known.
 	KeyRates *KeyRates
+	// FirstEpoch is the lowest epoch that may be given; 0 if there is no bound.
+	FirstEpoch identifier.Epoch
 	// Balance permits moves that only spread the load.
 	Balance bool
 	// Stable reports whether a cell is stable: all of its granters have been heard from for a while.
@@ -193,7 +195,7 @@
 	sort.Slice(p.usable, func(a, b int) bool { return p.usable[a].id < p.usable[b].id })
 	if a == nil {
 		whole := Segment{Range: identifier.Range{To: identifier.MaxShardKey}}
-		p.next = &Allocation{Service: in.Service, NextEpoch: 1, Segments: split(whole, initialSegments(len(p.load)))}
+		p.next = &Allocation{Service: in.Service, NextEpoch: max(1, in.FirstEpoch), Segments: split(whole, initialSegments(len(p.load)))}
 		return p
 	}
 	next := *a
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -9,7 +9,7 @@
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
 // objects, and records.go keeps the records of the instances among which bounds are divided. peers.go
 // exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
-// the platform's store.
+// the platform's store, and eras.go acts when the store came back from a copy.
 package conductor
 
 import (
@@ -101,6 +101,8 @@
 	Put(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version, data []byte) (identifier.Version, error)
 	// Delete removes an object if its present version is expected; its errors are those of Put.
 	Delete(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version) error
+	// Era returns the highest era that an answer has stated; 0 if none did.
+	Era() identifier.Era
 }
 
 const (
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -92,12 +92,12 @@
 // those of the store's last list.
 func (c *Conductor) withNewestAllocations(objects []storer.Object) []storer.Object {
 	c.mu.Lock()
-	allocations := slices.Collect(maps.Values(c.ownership.Allocations()))
+	allocations, outdated := slices.Collect(maps.Values(c.ownership.Allocations())), c.ownership.OutdatedAllocations()
 	c.mu.Unlock()
 	for _, a := range allocations {
 		name := custodian.AllocationPrefix + string(a.Service)
 		n := slices.IndexFunc(objects, func(o storer.Object) bool { return o.Name == name })
-		if n >= 0 && objects[n].Version >= a.Version {
+		if n >= 0 && objects[n].Version >= a.Version && !outdated[name] {
 			continue
 		}
 		data, err := a.Encode()
@@ -126,6 +126,7 @@
 		source := c.takeCopySource(now)
 		ahead, behind := c.ownership.PeerWithNewerAllocation(now)
 		down := !c.view.storeDownAt.IsZero() || c.view.table == nil
+		lost := c.ownership.AwaitsAllocations() // The store has none that would do.
 		targets := c.copySources(now)
 		c.mu.Unlock()
 		if source != "" {
@@ -137,7 +138,7 @@
 		case behindAt.IsZero():
 			behindAt = now // The delta may still arrive.
 		case now.Sub(behindAt) < deltaWait:
-		case down:
+		case down, lost:
 			behindAt = time.Time{}
 			c.copyFrom(ctx, ahead.Address)
 			return
@@ -211,6 +212,7 @@
 		}
 		if copied.Kind == c.kinds.Shared {
 			m.Merge(copied.Objects) // A copy of the shared objects is not a complete list.
+			c.applyFormer(copied.Objects)
 			continue
 		}
 		if m.ApplyList(copied, time.Time{}) {
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -356,6 +356,9 @@
 	for _, r := range s.ReplacedServers {
 		c.replace(now, r.Server, r.Incarnation)
 	}
+	if c.view.era.present > 0 {
+		c.noticeEra(now, s.HistoryLostBefore.Era())
+	}
 	c.relist(s.HistoryLostBefore)
 }
 
--- a/conductor/planning.go
+++ b/conductor/planning.go
@@ -93,6 +93,13 @@
 		if c.ownership.Allocation(service) == nil && now.Sub(c.view.newServerSeenAt) < initialAllocationDelay {
 			continue // Backend servers are still registering.
 		}
+		if a, pending := c.ownership.Rewrite(now, service); pending {
+			if a != nil {
+				next[service] = a
+				c.scope.Counter("AllocationRewrites").Inc(1)
+			}
+			continue
+		}
 		stale = stale || c.ownership.HasUnconfirmedPrepare(service)
 		if a := allocator.Plan(c.ownership.Allocation(service), c.planInput(now, service, balance)); a != nil {
 			next[service] = a
@@ -177,6 +184,7 @@
 			expired = expired || !now.Before(until)
 		}
 		expired = expired || c.doubtsDue(now)
+		evacuationsDue := c.evacuationsDue(now)
 		if c.refreshDue {
 			c.refresh(now)
 		}
@@ -199,5 +207,8 @@
 			c.log.WithFields(logrus.Fields{"Kind": c.kinds.Servers}).Debug("removed entries did not come back in time, or doubtful ones were not corrected")
 			c.mirrorChanged(c.kinds.Servers)
 		}
+		if evacuationsDue {
+			c.mirrorChanged(c.kinds.Evacuations)
+		}
 	})
 }
--- a/conductor/records_test.go
+++ b/conductor/records_test.go
@@ -37,6 +37,8 @@
 	return o.Version, nil
 }
 
+func (s modelStore) Era() identifier.Era { return s.objects.Era() }
+
 func (s modelStore) Delete(_ context.Context, kind storer.ObjectKind, name string, expected identifier.Version) error {
 	if o, removed := s.objects.Delete(kind, name, &expected); !removed {
 		return &storer.ConflictError{Name: name, Expected: expected, Present: o.Version}
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -317,6 +317,9 @@
 	if c.view.table != nil {
 		line("Config version %d", c.view.table.Version)
 	}
+	if era := c.view.era.present; era > 0 {
+		line("Store era %d, an allocation of it is missing %t", era, c.ownership.AwaitsAllocations())
+	}
 	line("Store up %t, shared objects requested %s ago", c.view.storeDownAt.IsZero(), now.Sub(c.ownership.RequestedAt()).Round(time.Millisecond))
 	for _, p := range c.ownership.Gossip.Live(now) {
 		line("Peer %s incarnation %d zone %s heard %s ago", p.Instance, p.Incarnation, p.Zone, now.Sub(p.HeardAt).Round(time.Millisecond))
--- a/conductor/store_test.go
+++ b/conductor/store_test.go
@@ -35,6 +35,8 @@
 	return 0, storer.ErrUnavailable
 }
 
+func (noStore) Era() identifier.Era { return 0 }
+
 // newIdle returns a Conductor that does not run and whose clock reads *now.
 func newIdle(now *time.Time) *Conductor {
 	log := logrus.New()
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -42,7 +42,8 @@
 	storeDownAt         time.Time             // Start of the present outage; zero while the store answers.
 	storeUpAt           time.Time             // End of the last outage.
 	storeAnsweredAt     time.Time             // When the store last answered this instance.
-	copiedAt            time.Time             // When the last copies from another instance were requested.
+	era                 eraView
+	copiedAt            time.Time // When the last copies from another instance were requested.
 }
 
 // seenMember is what a version of a member object says.
@@ -91,10 +92,11 @@
 func (c *Conductor) mirrorChanged(kind storer.ObjectKind) {
 	now := c.clock()
 	c.mu.Lock()
+	c.noticeEra(now, c.store.Era())
 	copied, requestedAt := c.mirrors[kind].Snapshot() // Read under the lock, so that the newest copy is applied last.
 	if c.historyLostKind == kind {
 		c.historyLostKind = ""
-		c.relist(copied.Revision)
+		c.relist(c.historyGoneBefore(now, copied.Revision))
 	}
 	switch kind {
 	case c.kinds.Config:
@@ -104,6 +106,9 @@
 	case c.kinds.Evacuations:
 		c.readEvacuations(now, copied.Objects)
 	case c.kinds.Shared:
+		if c.view.era.present > 0 {
+			c.ownership.RecordListedEra(copied.Revision.Era())
+		}
 		c.readShared(now, copied.Objects, requestedAt)
 	}
 	c.refresh(now)
@@ -154,6 +159,7 @@
 			c.log.WithFields(logrus.Fields{"Zone": zone, "Version": o.Version}).Info("zone is evacuated")
 		}
 	}
+	c.retainEvacuations(now, evacuated)
 	for zone := range c.view.evacuated {
 		if _, still := evacuated[zone]; !still {
 			c.view.evacuationEndedAt[zone] = now
@@ -185,7 +191,10 @@
 			m = seenMember{o.Version, decoded}
 		}
 		c.view.members[o.Name] = m
-		records = append(records, apportioner.Record{Instance: m.Instance, Settled: m.Settled, Ended: m.Ended})
+	}
+	c.retainMembers(now)
+	for _, m := range c.view.members {
+		records = append(records, apportioner.Record{Instance: m.Instance, Settled: c.settledRecord(m), Ended: m.Ended})
 		if !m.Ended {
 			members = append(members, m.Address)
 		}
@@ -259,7 +268,7 @@
 func (c *Conductor) environment() custodian.Environment {
 	env := custodian.Environment{
 		Entries: c.view.entries, Keyed: map[identifier.Service]bool{}, StoreUp: c.view.storeDownAt.IsZero(),
-		StoreUpAt: c.view.storeUpAt, Leaving: c.leaving,
+		StoreUpAt: c.view.storeUpAt, Leaving: c.leaving, Recorded: c.recordedInstances(),
 	}
 	if c.view.table != nil {
 		for name, s := range c.view.table.Services {
--- a/custodian/allocations.go
+++ b/custodian/allocations.go
@@ -46,17 +46,25 @@
 	if old := c.allocations[service]; old != nil && old.Version >= o.Version {
 		return
 	}
+	if c.eras.outdated[o.Name].version == o.Version {
+		return
+	}
 	a, err := allocator.Decode(o.Data, o.Version)
 	if err != nil {
 		c.logEvent("allocation ignored: it does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
 		return
 	}
+	if c.isOutdated(a.NextEpoch.Era(), o.Version) {
+		c.recordOutdated(o, a)
+		return
+	}
 	c.SetAllocation(now, a)
 }
 
 // SetAllocation replaces the allocation of a service with a, unless the known one is as new, and updates the states of the
 // service's segments. a must not be modified any more.
 func (c *Custodian) SetAllocation(now time.Time, a *allocator.Allocation) {
+	c.noticeVersion(now, a.Version)
 	service := a.Service
 	old := c.allocations[service]
 	if old != nil && old.Version >= a.Version {
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -60,6 +60,8 @@
 	// zero if there was none.
 	StoreUp   bool
 	StoreUpAt time.Time
+	// Recorded are the instances on record in the store, also those of which the record was lost when it was restored.
+	Recorded []identifier.Instance
 	// Leaving reports whether this process is shutting down.
 	Leaving bool
 }
@@ -96,6 +98,7 @@
 	// fencedAt is, by fence, the earliest known upper bound of the time at which the holder was
 	// fenced.
 	fencedAt map[fenceKey]time.Time
+	eras     eras
 }
 
 // segmentKey identifies a segment of an allocation, or the fence of a segment by its epoch.
@@ -134,6 +137,7 @@
 		Leases: leaser.New(s.Leases), allocations: map[identifier.Service]*allocator.Allocation{},
 		rosters: map[identifier.Cell]leaser.Roster{}, rosterVersions: map[string]identifier.Version{}, segments: map[segmentKey]*segmentState{},
 		relayedAt: map[identifier.Cell]time.Time{}, allocationsRead: map[identifier.Cell]bool{}, fencedAt: map[fenceKey]time.Time{},
+		eras: eras{former: map[identifier.Era]map[identifier.Cell]time.Time{}, outdated: map[string]outdatedObject{}},
 	}
 }
 
@@ -161,6 +165,7 @@
 // objects are not a complete list.
 func (c *Custodian) ApplyObjects(now time.Time, objects []storer.Object, requestedAt time.Time) {
 	for _, o := range objects {
+		c.noticeVersion(now, o.Version)
 		switch {
 		case strings.HasPrefix(o.Name, AllocationPrefix):
 			c.applyAllocation(now, o)
@@ -183,7 +188,12 @@
 		c.logEvent("roster ignored: it does not decode", map[string]any{"Object": o.Name, "Version": o.Version, "Error": err.Error()})
 		return
 	}
-	if old, ok := c.rosters[r.Cell]; ok && old.Version >= r.Version {
+	if c.isOutdated(r.Era, o.Version) {
+		c.recordOutdated(o, nil)
+		return
+	}
+	old, ok := c.rosters[r.Cell]
+	if ok && old.Version >= r.Version {
 		return
 	}
 	c.rosters[r.Cell] = r
@@ -199,7 +209,7 @@
 			delete(c.fencedAt, key)
 		}
 	}
-	if h, ok := c.ownHolder(r.Cell); !ok || h.Fenced() {
+	if h, ok := c.ownHolder(r.Cell); !ok || h.Fenced() || r.Era != old.Era {
 		delete(c.allocationsRead, r.Cell)
 	}
 	c.logEvent("roster", map[string]any{"Cell": r.Cell.String(), "Version": r.Version, "Holders": r.Holders})
@@ -220,14 +230,18 @@
 // MayGrant reports whether this process may send grants in a cell now.
 func (c *Custodian) MayGrant(now time.Time, cell identifier.Cell) bool {
 	h, ok := c.ownHolder(cell)
-	if !ok || h.Fenced() || !c.allocationsRead[cell] || c.anotherGrants(now, cell) {
+	if !ok || h.Fenced() || c.rosters[cell].Era != c.eras.present || !c.allocationsRead[cell] || c.anotherGrants(now, cell) {
 		return false
 	}
-	confirmed := c.requestedAt
-	if relayedAt := c.relayedAt[cell]; relayedAt.After(confirmed) {
-		confirmed = relayedAt
+	return now.Sub(c.confirmedAt(cell)) < c.settings.Leases.ConfirmationTimeout
+}
+
+// confirmedAt returns when the known roster of a cell was last confirmed.
+func (c *Custodian) confirmedAt(cell identifier.Cell) time.Time {
+	if relayedAt := c.relayedAt[cell]; relayedAt.After(c.requestedAt) {
+		return relayedAt
 	}
-	return now.Sub(confirmed) < c.settings.Leases.ConfirmationTimeout
+	return c.requestedAt
 }
 
 // DueOrders returns the orders to send now. The caller must report the outcome of each back.
@@ -243,10 +257,16 @@
 	}
 	var orders []leaser.Order
 	for _, service := range c.services() {
+		a := c.allocations[service]
+		present, era := c.ofPresentEra(a), a.NextEpoch.Era()
 		orders = append(orders, c.Leases.DueOrders(now, leaser.View{
-			Allocation: c.allocations[service], Self: c.Self(),
-			OnRoster: func(cell identifier.Cell) bool { return onRoster[cell] },
-			MayGrant: func(cell identifier.Cell) bool { return mayGrant[cell] },
+			Allocation: a, Self: c.Self(),
+			OnRoster: func(cell identifier.Cell) bool {
+				return onRoster[cell] || !present && c.mayGrantFormer(now, cell, era)
+			},
+			MayGrant: func(cell identifier.Cell) bool {
+				return present && mayGrant[cell] || !present && c.mayGrantFormer(now, cell, era)
+			},
 			CurrentIncarnation: func(id identifier.BackendServer) (registrar.Incarnation, bool) {
 				e, ok := c.environment.Entries[id]
 				return e.Incarnation, ok
@@ -296,6 +316,9 @@
 			}
 		}
 	}
+	if c.AwaitsAllocations() && c.isCovered(now) {
+		releases = append(releases, coverage(c.eras.present))
+	}
 	return releases
 }
 
@@ -305,6 +328,9 @@
 func (c *Custodian) Confirmations(now time.Time) []gossiper.Confirmation {
 	var all []gossiper.Confirmation
 	for cell, r := range c.rosters {
+		if r.Era != c.eras.present {
+			continue
+		}
 		all = append(all, gossiper.Confirmation{Cell: cell, Version: r.Version, AgeMs: now.Sub(c.requestedAt).Milliseconds() + 1})
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].Cell.Compare(all[b].Cell) < 0 })
--- a/custodian/planning.go
+++ b/custodian/planning.go
@@ -24,13 +24,13 @@
 // ShouldPlan reports whether this process should plan now: it is the planner, the store answers, and the
 // time to hear from the others after its start has passed.
 func (c *Custodian) ShouldPlan(now time.Time) bool {
-	return c.StoreUp() && now.Sub(c.startedAt) >= DiscoveryTime && c.Planner(now) == c.settings.Instance
+	return c.StoreUp() && c.hasListed() && now.Sub(c.startedAt) >= DiscoveryTime && c.Planner(now) == c.settings.Instance
 }
 
 // CompleteInput completes the input of a plan with what this process knows. The caller has set the service,
 // the servers and the request rates; the servers in the map are updated in place.
 func (c *Custodian) CompleteInput(now time.Time, in allocator.Input) allocator.Input {
-	in.Now = now
+	in.Now, in.FirstEpoch = now, c.eras.present.FirstEpoch()
 	stable := map[identifier.Cell]bool{}
 	in.Stable = func(cell identifier.Cell) bool {
 		if _, ok := stable[cell]; !ok {
@@ -97,7 +97,7 @@
 // of its cell.
 func (c *Custodian) released(now time.Time, service identifier.Service, s allocator.Segment) (done bool, handover string) {
 	st := c.segments[segmentKey{service, s.Range, s.Epoch}]
-	if st == nil || st.movingAt.IsZero() || !c.requestedAt.After(st.movingAt) {
+	if st == nil || st.movingAt.IsZero() || !c.requestedAt.After(st.movingAt) || !c.rosterCounts(s.Cell) {
 		return false, ""
 	}
 	if s.Fence != 0 {
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -125,7 +125,7 @@
 // RosterChanges returns, sorted by cell, the rosters that this process should write now. There are
 // none in the time after its start in which it has not yet heard from the others.
 func (c *Custodian) RosterChanges(now time.Time) []leaser.Roster {
-	if now.Sub(c.startedAt) < DiscoveryTime {
+	if now.Sub(c.startedAt) < DiscoveryTime || !c.hasListed() {
 		return nil
 	}
 	var changes []leaser.Roster
@@ -140,6 +140,7 @@
 			candidates = all // Those of other zones that can reach the store may go first.
 		}
 		if r, ok := c.rosterChange(now, cell, granterOf(cell, candidates)); ok {
+			r.Era, r.Version = c.eras.present, c.toReplace(RosterPrefix+cell.String(), r.Version)
 			changes = append(changes, r)
 		}
 	}
@@ -179,10 +180,15 @@
 	ownHolder, onRoster := c.ownHolder(cell)
 	isGranter := granter == c.settings.Instance
 	unresponsive := func(h leaser.Holder) bool { return c.unresponsive(now, h) }
+	counts := c.rosterCounts(cell)
 	switch {
+	case !counts && !isGranter:
+		return r, false
+	case !counts, !onRoster && c.eras.present > 0 && c.mayHold(now, cell):
+		return r.Join(c.settings.Instance, c.settings.Incarnation, unresponsive), true
 	case isGranter && (!onRoster || ownHolder.Fenced() || slices.ContainsFunc(r.Holders, unresponsive)):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, unresponsive), true
-	case !isGranter && onRoster && (ownHolder.Fenced() || c.anotherGrants(now, cell)) && c.Leases.Idle(now, cell):
+	case !isGranter && onRoster && (ownHolder.Fenced() || c.anotherGrants(now, cell)) && !c.mayHold(now, cell):
 		return r.Without(func(h leaser.Holder) bool { return h == ownHolder }), true
 	case isGranter && onRoster:
 		next := r.Without(func(h leaser.Holder) bool { return h != ownHolder && c.grantsLapsed(now, cell, h) })
@@ -220,7 +226,7 @@
 func (c *Custodian) UnreadCells() []identifier.Cell {
 	var unread []identifier.Cell
 	for cell := range c.rosters {
-		if h, onRoster := c.ownHolder(cell); onRoster && !h.Fenced() && !c.allocationsRead[cell] {
+		if h, onRoster := c.ownHolder(cell); onRoster && !h.Fenced() && !c.allocationsRead[cell] && c.rosterCounts(cell) {
 			unread = append(unread, cell)
 		}
 	}
@@ -231,7 +237,7 @@
 // applied that was requested after this process knew that it was on the rosters of these cells.
 func (c *Custodian) RecordRead(cells []identifier.Cell) {
 	for _, cell := range cells {
-		if h, onRoster := c.ownHolder(cell); onRoster && !h.Fenced() {
+		if h, onRoster := c.ownHolder(cell); onRoster && !h.Fenced() && c.rosterCounts(cell) {
 			c.allocationsRead[cell] = true
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -291,6 +291,15 @@
 // Peer returns what is known of an instance, or nil.
 func (g *Gossiper) Peer(i identifier.Instance) *Peer { return g.peers[i] }
 
+// Known returns the instances from which anything was heard and that have not expired, in order of their names.
+func (g *Gossiper) Known() []*Peer {
+	known := make([]*Peer, 0, len(g.names))
+	for _, name := range g.names {
+		known = append(known, g.peers[name])
+	}
+	return known
+}
+
 // Live returns the instances whose last state is younger than UnresponsiveAfter, in order of their names.
 func (g *Gossiper) Live(now time.Time) []*Peer {
 	var live []*Peer
--- a/leaser/roster.go
+++ b/leaser/roster.go
@@ -30,6 +30,8 @@
 type Roster struct {
 	Cell    identifier.Cell
 	Holders []Holder
+	// Era is the era of the store for which the roster was written.
+	Era     identifier.Era     `json:",omitempty"`
 	Version identifier.Version `json:"-"`
 }
 
@@ -66,7 +68,7 @@
 // Without returns a copy of the roster without the holders for which drop returns true. The version
 // stays.
 func (r Roster) Without(drop func(Holder) bool) Roster {
-	kept := Roster{Cell: r.Cell, Version: r.Version}
+	kept := Roster{Cell: r.Cell, Era: r.Era, Version: r.Version}
 	for _, h := range r.Holders {
 		if !drop(h) {
 			kept.Holders = append(kept.Holders, h)
--- a/storer/era.go
+++ b/storer/era.go
@@ -7,6 +7,9 @@
 	"github.com/turmericlift/turmericlift/identifier"
 )
 
+// Era returns the highest era that an answer has stated; 0 if none did.
+func (k *KindClient) Era() identifier.Era { return identifier.Era(k.era.Load()) }
+
 // inEras reports whether the store has stated an era, so that versions have an era.
 func (k *KindClient) inEras() bool { return k.era.Load() != 0 }
 
