custodian: schedules restore the store from copies

Every second schedule restores the store one to three times, 0.5 to 10 s back, beside the other faults, and loses the power of all instances, or of all but one that is cut off, right after half of them. A restore alone must move no key, and leave none without an owner for more than 5 s after a power loss.

--- a/custodian/schedule_test.go
+++ b/custodian/schedule_test.go
@@ -37,13 +37,16 @@
 // the store is down, does not answer single instances, loses answers and executes writes late; backend
 // servers crash, come back under the same name, leave, and execute orders late; they start again while
 // they are cut off from the store, and entries of former incarnations, or of no incarnation at all, take
-// the place of the true ones.
+// the place of the true ones. In every second schedule, the store also comes back from copies.
 func TestOneOwner(t *testing.T) {
 	for n := range *schedules {
 		seed := *firstSeed + int64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			m := newModel(seed, variant{})
+			if seed%2 == 0 {
+				m.scheduleRestores(seed)
+			}
 			m.run()
 			for _, violation := range m.violations {
 				t.Error(violation)
@@ -63,12 +66,17 @@
 		"LeavesRosterWithGrants":         {leaveWithGrants: true, kinds: []int{9, 9, 10, 11, 13, 13}},
 		"GrantsBeforeReadingAllocations": {grantWithoutReading: true, kinds: []int{3, 4, 5, 7, 11, 13}},
 		"FreesByRegistration":            {freeByRegistration: true, kinds: []int{8, 14, 15}},
+		"IgnoresErasOfTheStore":          {ignoreEras: true, restores: true, kinds: []int{8, 11, 11, 11}},
+		"IgnoresRecordsOfInstances":      {ignoreRecords: true, restores: true, kinds: []int{8, 11, 11, 11}},
 	}
 	for name, v := range variants {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 250; seed++ {
 				m := newModel(seed, v)
+				if v.restores {
+					m.scheduleRestores(seed)
+				}
 				m.run()
 				if len(m.violations) > 0 {
 					t.Logf("detected by seed %d: %s", seed, m.violations[0])
@@ -90,6 +98,14 @@
 	grantWithoutReading bool
 	// freeByRegistration makes planners take an incarnation for ended once another one is registered.
 	freeByRegistration bool
+	// restores adds restores of the store.
+	restores bool
+	// ignoreEras makes instances compare versions of different eras by their revisions.
+	ignoreEras bool
+	// ignoreRecords makes instances wait only for those that they have heard before they write an allocation again.
+	ignoreRecords bool
+	// noFaults leaves out all faults.
+	noFaults bool
 	// kinds are the kinds of faults that occur; all kinds if the slice is empty.
 	kinds []int
 }
@@ -135,7 +151,11 @@
 type storeModel struct {
 	objects  map[string]storer.Object
 	revision identifier.Version
-	down     bool
+	era      identifier.Era // 0: the store states none.
+	// ignoreEras makes instances see bare revisions.
+	ignoreEras bool
+	saved      []savedStore
+	down       bool
 	// losesAnswers makes some writes lose their answers, and some of these take effect late.
 	losesAnswers bool
 }
@@ -217,6 +237,9 @@
 		m.register(s)
 	}
 	for range 3 + m.rng.Intn(6) + 2*len(v.kinds) {
+		if v.noFaults {
+			break
+		}
 		m.after(m.between(4*time.Second, faultTime), m.fault)
 	}
 	return m
@@ -417,8 +440,11 @@
 	}
 	in.ownership.SetEnvironment(custodian.Environment{
 		Entries: in.entries, Keyed: map[identifier.Service]bool{service: true}, StoreUp: up, StoreUpAt: in.storeUpAt,
-		Leaving: in.leaving,
+		Leaving: in.leaving, Recorded: m.recorded(),
 	})
+	if up {
+		m.noticeEra(in, m.store.era)
+	}
 }
 
 // listObjects lets an instance apply a complete list of the shared objects; it returns false if the
@@ -432,6 +458,9 @@
 	for _, o := range m.store.objects {
 		objects = append(objects, o)
 	}
+	if !m.ignoreEras {
+		in.ownership.RecordListedEra(m.store.era)
+	}
 	in.ownership.ApplyObjects(m.now, objects, m.now.Add(-time.Millisecond))
 	return true
 }
@@ -441,13 +470,19 @@
 	if !m.storeReachable(in) {
 		return
 	}
+	era := in.ownership.Era()
+	if expected != 0 && era != 0 && expected.Era() != era { // The client does not send it.
+		m.listObjects(in)
+		return
+	}
 	apply := func() bool {
-		if m.store.objects[name].Version != expected {
+		if m.store.objects[name].Version.Revision() != expected.Revision() {
 			return false
 		}
 		m.store.revision++
-		m.store.objects[name] = storer.Object{Name: name, Version: m.store.revision + 1, Data: data}
+		m.store.objects[name] = storer.Object{Name: name, Version: m.store.version(m.store.revision + 1), Data: data}
 		m.store.revision++
+		m.save()
 		return true
 	}
 	if m.store.losesAnswers && m.rng.Intn(3) == 0 {
@@ -458,7 +493,7 @@
 		}
 		return
 	}
-	if apply() {
+	if apply() && (era == m.store.era || m.ignoreEras) {
 		in.ownership.ApplyObjects(m.now, []storer.Object{m.store.objects[name]}, time.Time{})
 		return
 	}
@@ -495,6 +530,13 @@
 	for id, e := range in.entries {
 		servers[id] = allocator.Server{Entry: e, Capacity: 10}
 	}
+	if next, pending := in.ownership.Rewrite(m.now, service); pending {
+		if next != nil {
+			data, _ := next.Encode()
+			m.write(in, custodian.AllocationPrefix+string(service), next.Version, data)
+		}
+		return
+	}
 	next := allocator.Plan(in.ownership.Allocation(service), in.ownership.CompleteInput(m.now, allocator.Input{
 		Service: service, Servers: servers, Balance: m.rng.Intn(5) == 0,
 		IncarnationEnded: func(id identifier.BackendServer, incarnation registrar.Incarnation) bool {
@@ -513,7 +555,8 @@
 func (m *model) gossip(in *instance) {
 	state := in.ownership.Gossip.Compose(m.now, gossiper.State{
 		StoreUp: in.ownership.StoreUp(), Confirmations: in.ownership.Confirmations(m.now), Fences: in.ownership.Fences(m.now), Echoes: in.ownership.Gossip.Echoes(m.now),
-		Releases: in.ownership.Releases(m.now), LostServers: in.ownership.LostServers(m.now), AllocationVersions: in.ownership.Versions(),
+		HistoryLostBefore: in.ownership.Era().FirstVersion(),
+		Releases:          in.ownership.Releases(m.now), LostServers: in.ownership.LostServers(m.now), AllocationVersions: in.ownership.Versions(),
 	})
 	newest := in.ownership.Versions()[service]
 	for _, r := range in.ownership.Rosters() {
@@ -535,6 +578,8 @@
 				return
 			}
 			to.ownership.HandleState(m.now, state)
+			m.noticeEra(to, state.HistoryLostBefore.Era())
+			m.copyAllocation(in, to)
 			for _, o := range shared {
 				to.ownership.ApplyObjects(m.now, []storer.Object{o}, time.Time{})
 			}
