--- a/allocator/delta.go
+++ b/allocator/delta.go
@@ -16,13 +16,18 @@
 	// Version is the version that results.
 	Version   identifier.Version
 	NextEpoch identifier.Epoch
-	// Changed are the new segments. Together they cover whole segments of the base.
+	// Changed are the new segments. Together they cover whole segments of the base. There are none if the base was only
+	// reissued for a later era of the store, which NextEpoch shows.
 	Changed []Segment
 }
 
 // Diff returns the difference from a, which may be nil, to next, which was stored as version v.
 func Diff(a, next *Allocation, v identifier.Version) Delta {
 	d := Delta{Service: next.Service, Version: v, NextEpoch: next.NextEpoch}
+	if a != nil && isReissue(a, next) {
+		d.Base = a.Version
+		return d
+	}
 	oldSegments := map[Segment]bool{}
 	if a != nil {
 		d.Base = a.Version
@@ -42,6 +47,9 @@
 // modified. It returns an error if the delta has another base version or the result does not cover
 // every key exactly once.
 func Apply(a *Allocation, d Delta) (*Allocation, error) {
+	if a != nil && a.Version == d.Base && len(d.Changed) == 0 && a.NextEpoch.Era() < d.NextEpoch.Era() {
+		return applyReissue(a, d)
+	}
 	next := &Allocation{Service: d.Service, NextEpoch: d.NextEpoch, Version: d.Version}
 	base := identifier.Version(0)
 	if a != nil {
--- a/custodian/eras.go
+++ b/custodian/eras.go
@@ -153,8 +153,22 @@
 		return false
 	}
 	for service, keyed := range c.environment.Keyed {
-		a := c.allocations[service]
-		if keyed && (a == nil || !c.ofPresentEra(a) || c.isOverwritten(AllocationPrefix+string(service), a.Version)) {
+		name, a := AllocationPrefix+string(service), c.allocations[service]
+		switch {
+		case !keyed:
+		case a != nil && (!c.ofPresentEra(a) || c.isOverwritten(name, a.Version)), a == nil && c.eras.outdated[name].allocation != nil:
+			return true
+		case a == nil && c.eras.present > firstEra && c.hasServer(service):
+			return true
+		}
+	}
+	return false
+}
+
+// hasServer reports whether a backend server of a service is registered.
+func (c *Custodian) hasServer(service identifier.Service) bool {
+	for _, e := range c.environment.Entries {
+		if e.Service == service {
 			return true
 		}
 	}
