--- a/commander/soak.go
+++ b/commander/soak.go
@@ -25,9 +25,10 @@
 	callers := addFlag(c, "callers", "Number of callers of each instance.").Default("4").Int()
 	faultTime := addFlag(c, "fault-time", "How long faults are injected.").Default("20s").Duration()
 	restartCutOff := addFlag(c, "restart-cut-off", "Whether keyed backend servers start again while they are cut off from the store.").Default("true").Bool()
+	restores := addFlag(c, "restores", "Whether the store comes back from copies.").Default("false").Bool()
 	folder := addFlag(c, "folder", "Directory for the processes' logs and settings; default: a new temporary directory.").String()
 	return func(ctx context.Context, env environment) error {
-		cfg := soaker.Config{Program: *program, Instances: *instances, CallersPerInstance: *callers, FaultTime: *faultTime, RestartCutOff: *restartCutOff, Folder: *folder}
+		cfg := soaker.Config{Program: *program, Instances: *instances, CallersPerInstance: *callers, FaultTime: *faultTime, RestartCutOff: *restartCutOff, Restores: *restores, Folder: *folder}
 		switch {
 		case cfg.Instances < 1 || cfg.Instances > maxSoakInstances:
 			return fmt.Errorf("--instances %d is not valid: must be from 1 to %d", cfg.Instances, maxSoakInstances)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,7 @@
 	CallersPerInstance int           // Number of callers for each instance.
 	FaultTime          time.Duration // How long faults are injected.
 	RestartCutOff      bool          // Keyed backend servers start again while they are cut off from the store.
+	Restores           bool          // The store comes back from copies.
 	Folder             string        // Directory in which each run creates a folder for the processes' settings and logs.
 }
 
@@ -99,6 +100,9 @@
 // runSeed starts the instances and their callers, injects faults and checks that every
 // request is served again afterwards. It returns the number of injected faults.
 func (env *environment) runSeed(ctx context.Context, cfg Config, seed int64) (injected int, err error) {
+	if cfg.Restores {
+		env.objects.StateEras()
+	}
 	for _, inst := range env.instances {
 		if err := inst.start(time.Now()); err != nil {
 			return 0, err
@@ -124,6 +128,9 @@
 	env.tasks.Go(func(context.Context) {
 		env.spoilEntries(rejectCtx, rand.New(rand.NewSource(seed<<1)), cfg.RestartCutOff)
 	})
+	if cfg.Restores {
+		env.tasks.Go(func(context.Context) { env.restoreStore(rejectCtx, rand.New(rand.NewSource(seed<<2))) })
+	}
 	injected = env.injectFaults(ctx, cfg.FaultTime, rand.New(rand.NewSource(seed)))
 	endRejecting()
 	if !env.awaitAllServed(ctx, recoveryTime) && ctx.Err() == nil { // A cancelled run shows nothing.
