conductor: the era is noticed from copies of other instances too

Cause: an instance that the store turns away learned of a restore from states only. Change: the versions of copies carry the era as well. The tests of conductor pass.

--- a/conductor/eras.go
+++ b/conductor/eras.go
@@ -11,6 +11,7 @@
 	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/mirrorer"
 	"github.com/turmericlift/turmericlift/ranker"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -61,6 +62,15 @@
 	c.listSharedSoon(now)
 }
 
+// copiedEra returns the highest era in a mirror's copy, which other instances may have read; 0 if the store states none. The caller
+// holds the lock.
+func (c *Conductor) copiedEra(copied mirrorer.Copy) identifier.Era {
+	if c.view.era.present == 0 {
+		return 0
+	}
+	return copied.NewestVersion().Era()
+}
+
 // listSharedSoon lists the shared objects: at once if this instance grants or plans, otherwise spread over a time that grows
 // with the number of instances, since all notice a new era together. The caller holds the lock.
 func (c *Conductor) listSharedSoon(now time.Time) {
--- a/conductor/eras_test.go
+++ b/conductor/eras_test.go
@@ -150,3 +150,17 @@
 		}
 	}
 }
+
+// TestEraFromOthers guards against an instance that the store does not answer and that takes over what is gone in a new era,
+// since it learns of the era from another instance's copies only.
+func TestEraFromOthers(t *testing.T) {
+	f := newEraFixture(t)
+	f.era = 1
+	f.list(f.kinds.Evacuations, 50, map[string]string{"b": "{}"})
+	f.records(50, "one", "two")
+	later := identifier.Era(2)
+	f.mirrors[f.kinds.Evacuations].ApplyList(mirrorer.Copy{Kind: f.kinds.Evacuations, Revision: later.Version(40)}, time.Time{})
+	if _, out := f.view.evacuated["b"]; !out || f.ownership.Era() != later {
+		t.Errorf("zone b is evacuated: %t, era %d; want true and era %d", out, f.ownership.Era(), later)
+	}
+}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -92,8 +92,8 @@
 func (c *Conductor) mirrorChanged(kind storer.ObjectKind) {
 	now := c.clock()
 	c.mu.Lock()
-	c.noticeEra(now, c.store.Era())
 	copied, requestedAt := c.mirrors[kind].Snapshot() // Read under the lock, so that the newest copy is applied last.
+	c.noticeEra(now, max(c.store.Era(), c.copiedEra(copied)))
 	if c.historyLostKind == kind {
 		c.historyLostKind = ""
 		c.relist(c.historyGoneBefore(now, copied.Revision))
