--- a/conductor/calls.go
+++ b/conductor/calls.go
@@ -61,3 +61,6 @@
 func (c *Conductor) calls(reason storeCallReason) Store {
 	return countedStore{c.store, reason, c.scope}
 }
+
+// Era implements Store. It makes no call.
+func (s countedStore) Era() identifier.Era { return s.store.Era() }
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -190,6 +190,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for name := range c.ownership.OutdatedAllocations() {
+		delete(req.SharedVersions, name) // Another instance may know one that the store has lost.
+	}
 	for service, version := range c.ownership.Versions() {
 		req.SharedVersions[custodian.AllocationPrefix+string(service)] = version
 	}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -400,7 +400,7 @@
 		return
 	}
 	c.historyLostBefore = after
-	if c.delegation.active {
+	if c.delegation.active && c.view.era.present == 0 {
 		return // The relay lists the kinds again, and its copies tell what has changed.
 	}
 	for kind, m := range c.mirrors {
--- a/custodian/eras.go
+++ b/custodian/eras.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/turmericlift/turmericlift/allocator"
@@ -139,8 +140,9 @@
 // OutdatedAllocations returns the names of the allocations of which the store has one that does not count.
 func (c *Custodian) OutdatedAllocations() map[string]bool {
 	names := map[string]bool{}
-	for service, a := range c.allocations {
-		if name := AllocationPrefix + string(service); c.isOverwritten(name, a.Version) {
+	for name, outdated := range c.eras.outdated {
+		a := c.allocations[identifier.Service(strings.TrimPrefix(name, AllocationPrefix))]
+		if outdated.allocation != nil && (a == nil || a.Version < outdated.version) {
 			names[name] = true
 		}
 	}
