custodian: a process is covered only if it may not get an allocation of a former era to grant from

Cause: a process that had granted in a cell, but knew no allocation of a service, could report that it was covered and get a former allocation from another instance afterwards. Change: the cells count until its last confirmation is over. Result: go test ./custodian passes.

--- a/custodian/eras.go
+++ b/custodian/eras.go
@@ -117,8 +117,16 @@
 	return now.Before(c.eras.former[era][cell]) && !(onRoster && h.Fenced())
 }
 
-// mayHold reports whether grants of this process in a cell may be in force, or be sent under an allocation of a former era.
+// mayHold reports whether grants of this process in a cell may be in force, or be sent under an allocation of a former era,
+// which another instance may pass on as long as one of the present era is missing.
 func (c *Custodian) mayHold(now time.Time, cell identifier.Cell) bool {
+	if c.AwaitsAllocations() {
+		for _, cells := range c.eras.former {
+			if now.Before(cells[cell]) {
+				return true
+			}
+		}
+	}
 	for _, a := range c.allocations {
 		if !c.ofPresentEra(a) && c.mayGrantFormer(now, cell, a.NextEpoch.Era()) {
 			return true
