rentier, conductor: tenants' quotas hold over all instances

Cause: a tenant's rate and burst bind all instances together, whatever two of them know of each other, and its callers may all use one instance.

Change: package rentier lends each instance's share of the quotas to one distributor, which grants parts by demand and hands out single tokens from the rest. A loan is dated by a number that the distributor gave before, so a late one is short; an instance that lends its share does not use it until the loan is over. The conductor makes one call a second, and further ones while requests find no token and the distributor had some: with 34 instances a tenant of 8 requests a second has 0.2 a second at each, which no division of rates can serve. A request is counted when it is sent, also when it is sent again; over the quota it is refused before it queues (429), and with 503 while the instance has no part. When an installation starts for the first time (bootstrap), one instance has the quotas as a whole for 20 s, by an object that only one can write. Records of instances that are gone are removed 4.2 s later than before, since their shares may be lent. The switch is a tenant with a rate.

--- a/answerer/code.go
+++ b/answerer/code.go
@@ -38,6 +38,8 @@
 	CodeJournalFull        Code = 3008
 	CodeMemoryFull         Code = 3010
 	CodeStopping           Code = 3011
+	CodeOverQuota          Code = 3012
+	CodeQuotaUnknown       Code = 3013
 	CodeRequestIDTooOld    Code = 3009
 	CodeInDoubt            Code = 4008
 	CodeBackendUnreachable Code = 4001
@@ -87,6 +89,8 @@
 	{CodeJournalFull, "JournalFull", http.StatusServiceUnavailable, "The journal has no space for another request that is not idempotent."},
 	{CodeStopping, "Stopping", http.StatusServiceUnavailable, "The instance stops before the request could be answered, and has not sent it."},
 	{CodeMemoryFull, "MemoryFull", http.StatusServiceUnavailable, "The requests of the instance hold all the memory that they may use."},
+	{CodeOverQuota, "OverQuota", http.StatusTooManyRequests, "The tenant's quota is used up."},
+	{CodeQuotaUnknown, "QuotaUnknown", http.StatusServiceUnavailable, "The instance has no part of the tenant's quota, since it does not know how much others use."},
 	{CodeRequestIDTooOld, "RequestIDTooOld", http.StatusConflict, "The Idempotency-Key is older than the time for which outcomes are kept."},
 	{CodeBackendUnreachable, "BackendUnreachable", http.StatusServiceUnavailable, "No connection to the backend server could be made."},
 	{CodeBackendBroke, "BackendBroke", http.StatusBadGateway, "The connection to the backend server broke after the request was sent."},
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -7,7 +7,8 @@
 // tracks how old what it shows may be, and leaving.go what servers say of themselves in answers.
 // front.go chooses the server of callers' connections. requests.go serves their requests (it implements forwarder.Core), planning.go plans
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
-// objects, and records.go keeps the records of the instances among which bounds are divided. peers.go
+// objects, and records.go keeps the records of the instances among which bounds are divided. quotas.go
+// keeps the tenants' quotas, and quota_start.go those of an installation that starts. peers.go
 // exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
 // the platform's store, and eras.go acts when the store came back from a copy.
 package conductor
@@ -92,6 +93,10 @@
 	// PipelinedRequests says that callers send further requests before the first is answered, so that package pipeliner
 	// serves their connections.
 	PipelinedRequests bool
+	QuotaWindow      time.Duration // The sliding window in which requests of a tenant are counted.
+	QuotaOvershoot   float64       // The fraction by which the requests of a tenant may exceed its quota.
+	QuotaSlack       float64       // A number of requests that a tenant may have in addition in a window.
+	Bootstrap        bool          // The whole installation starts for the first time.
 }
 
 // Store is the client of the platform's store. Put writes an object if its present version is
@@ -159,6 +164,7 @@
 	planTrigger  chan struct{}
 	grantTrigger chan struct{}
 	sendTrigger  chan struct{}
+	quotaTrigger chan struct{}
 	tasks        *supervisor.Group
 
 	mu           sync.Mutex
@@ -188,6 +194,7 @@
 	wasReady          bool           // Set once the instance was ready for the first time.
 	sendingTo         map[string]int // By address, the number of messages that are being sent.
 	apportioner       *apportioner.Apportioner
+	quotas            quotas
 	bodies            *rationer.Rationer                // For the bodies of callers' requests.
 	sharers           int                               // The number of instances among which bounds are divided, as last logged.
 	viewWasStale      bool                              // As last logged.
@@ -229,14 +236,14 @@
 	c := &Conductor{
 		settings: s, kinds: kinds, codec: codec, store: store, clock: clock, log: log, scope: scope, metrics: metrics,
 		mirrors: map[storer.ObjectKind]*mirrorer.Mirror{}, planTrigger: make(chan struct{}, 1),
-		grantTrigger: make(chan struct{}, 1), sendTrigger: make(chan struct{}, 1), copyTrigger: make(chan struct{}, 1), startedAt: now,
+		grantTrigger: make(chan struct{}, 1), sendTrigger: make(chan struct{}, 1), copyTrigger: make(chan struct{}, 1), quotaTrigger: make(chan struct{}, 1), startedAt: now,
 		splitter: director.NewSplitter(), retryBudgets: map[identifier.Service]*limiter.RetryBudget{},
 		keyCounters: map[identifier.Service]*allocator.Counter{}, exchanges: map[scheduler.Send]context.CancelCauseFunc{}, crashes: quarantiner.New(),
 		pools: map[poolKey]*exchanger.Pool{}, orders: map[poolKey]*exchanger.Pool{},
 		verified:  map[identifier.BackendServer]verification{},
 		sendingTo: map[string]int{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
 	}
-	c.view, c.bodies = newView(), rationer.New(s.BodyMemory)
+	c.view, c.bodies, c.quotas = newView(), rationer.New(s.BodyMemory), newQuotas(now, s)
 	c.apportioner, c.missingSince = apportioner.New(s.Instance), map[identifier.Instance]time.Time{}
 	c.ownership = custodian.New(now, custodian.Settings{
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.Capacity, CellSize: custodian.CellSize,
@@ -328,7 +335,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context){
-		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop,
+		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop, c.quotaLoop,
 	} {
 		c.tasks.Go(loop)
 	}
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -48,8 +48,11 @@
 }
 
 // HandleRequest implements transporter.Handler: it answers another instance's request for copies of
-// the platform's objects. It returns nil if the request does not decode.
+// the platform's objects, or its call about the tenants' quotas. It returns nil if the request does not decode.
 func (c *Conductor) HandleRequest(_ context.Context, kind transporter.Kind, data []byte) []byte {
+	if kind == transporter.KindQuota {
+		return c.handleQuotaCall(data)
+	}
 	var req copyRequest
 	if kind != transporter.KindCopy || cbor.Unmarshal(data, &req) != nil {
 		c.log.WithField("Kind", kind).Warning("request of another instance does not decode, it gets an empty answer")
--- a/conductor/records.go
+++ b/conductor/records.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericlift/turmericlift/apportioner"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/rentier"
 	"github.com/turmericlift/turmericlift/storer"
 )
 
@@ -78,7 +79,7 @@
 		}
 		wait := memberRetention
 		if m.Ended {
-			wait = apportioner.SettleTime
+			wait = apportioner.SettleTime + rentier.DefaultTiming().Settle // Its share of quotas may be lent.
 		}
 		if now.Sub(since) >= wait {
 			c.missingSince[m.Instance] = now // The next step, or another try, comes no sooner than wait.
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -135,6 +135,7 @@
 			continue
 		}
 		c.view.table, c.view.configObjectVersion = table, o.Version
+		c.applyQuotas(c.clock(), table)
 		c.log.WithFields(logrus.Fields{"ConfigVersion": table.Version, "Version": o.Version}).Info("routing configuration is in force")
 		c.logUnknownKinds(table)
 	}
@@ -199,6 +200,7 @@
 			members = append(members, m.Address)
 		}
 	}
+	c.readQuotaStart(now, requestedAt, objects)
 	c.apportioner.RecordList(now, requestedAt, records)
 	sort.Strings(members)
 	c.ownership.Gossip.ReplaceHints(append(members, c.settings.Seeds...))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -42,6 +42,14 @@
 	// Exchange sends a request to a backend server and returns its answer; send is from the decision on the request. Its
 	// errors are those of exchanger.Pool.Do, and a *exchanger.BrokenError that wraps ErrSilent if the server will not answer.
 	Exchange(ctx context.Context, e registrar.Entry, send scheduler.Send, r *exchanger.Request) (exchanger.Answer, error)
+	// PeekQuota decides on a request of a tenant at its arrival: the refusal is nil if it may wait to be sent. The tenant may
+	// be nil.
+	PeekQuota(t *director.Tenant) *QuotaRefusal
+	// EnterQuota decides likewise, and counts a request that is not refused as waiting until LeaveQuota.
+	EnterQuota(t *director.Tenant) *QuotaRefusal
+	LeaveQuota(t *director.Tenant)
+	// TakeQuota counts a request that is about to be sent, unless the result is a refusal. It may wait for another instance.
+	TakeQuota(ctx context.Context, t *director.Tenant) *QuotaRefusal
 	// RecordOutcome records how a request ended that was assigned to a backend server.
 	RecordOutcome(e registrar.Entry, r scheduler.Report)
 	// RecordNotOwner records that a backend server does not own a key.
@@ -126,6 +134,7 @@
 type activeRequest struct {
 	route       *director.Route
 	tenant      *director.Tenant // Nil if the request needs no API key.
+	inQuota     bool             // It counts as waiting for its tenant's quota.
 	service     identifier.Service
 	id          string
 	header      http.Header
@@ -162,6 +171,7 @@
 	held := f.memory.Open()
 	defer held.Close()
 	req, res := f.parse(arrived, w, r, held)
+	defer f.leaveQuota(req)
 	if res == nil {
 		ctx, cancel := f.requestContext(r, req.deadline)
 		defer cancel()
@@ -194,6 +204,9 @@
 			f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
 			return req.notRun(&result{code: answerer.CodeQueueFull, retryAfter: defaultRetryAfter, detail: "too many retries to the service; the request was not sent again"})
 		}
+		if res := f.takeQuota(ctx, caller, req, d); res != nil {
+			return res
+		}
 		if res := f.attempt(ctx, caller, req, d); res != nil {
 			return res
 		}
@@ -425,6 +438,9 @@
 	}
 	if req.tenant != nil {
 		fields["Tenant"] = req.tenant.Name
+		if res.code == answerer.CodeOverQuota || res.code == answerer.CodeQuotaUnknown {
+			fields["RatePerS"], fields["Burst"] = req.tenant.Rate, req.tenant.Burst
+		}
 	}
 	if req.keyed {
 		own := req.inputs.Owner
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -39,6 +39,10 @@
 	broke       int
 	replaced    identifier.BackendServer
 	notice      registrar.Notice
+
+	quotaAtArrival *forwarder.QuotaRefusal
+	quotaSends     int
+	quotaLeft      int
 }
 
 func (c *core) Table() *director.Table                                                  { return c.table }
@@ -52,6 +56,18 @@
 func (c *core) RecordNotOwner(registrar.Entry, identifier.Service, identifier.ShardKey) { c.notOwner++ }
 func (c *core) RecordOwner(registrar.Entry, identifier.Service, identifier.ShardKey)    {}
 
+func (c *core) PeekQuota(*director.Tenant) *forwarder.QuotaRefusal  { return nil }
+func (c *core) EnterQuota(*director.Tenant) *forwarder.QuotaRefusal { return c.quotaAtArrival }
+func (c *core) LeaveQuota(*director.Tenant)                         { c.quotaLeft++ }
+
+// TakeQuota refuses a request whose tenant has a quota after as many sends as quotaSends.
+func (c *core) TakeQuota(_ context.Context, t *director.Tenant) *forwarder.QuotaRefusal {
+	if t == nil || t.Rate == 0 || len(c.requests) < c.quotaSends {
+		return nil
+	}
+	return &forwarder.QuotaRefusal{RetryAfter: 2 * time.Second}
+}
+
 func (c *core) RecordReplaced(_ registrar.Entry, by identifier.BackendServer) { c.replaced = by }
 
 func (c *core) Admit(_ context.Context, r *scheduler.PendingRequest) (scheduler.Decision, bool) {
--- a/forwarder/parse.go
+++ b/forwarder/parse.go
@@ -49,23 +49,9 @@
 	if res := f.checkDeparture(arrived, req); res != nil {
 		return req, res
 	}
-	body, err := readBody(w, r, left, table.Limits.MaxBodyBytes, held)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, rationer.ErrExhausted):
-		f.log.WithFields(logrus.Fields{"ID": req.id, "Length": r.ContentLength, "HeldBytes": f.memory.Held(), "LimitBytes": f.memory.Limit()}).Warning("body does not fit the memory that is left for requests, it was not read to its end")
-		return req, &result{code: answerer.CodeMemoryFull, status: http.StatusServiceUnavailable, retryAfter: memoryRetryAfter, detail: "the instance has no memory for the body at present; the request was not sent"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return req, &result{code: answerer.CodeExpired, status: http.StatusRequestTimeout, detail: "the body did not arrive before the deadline; the request was not sent"}
-	case errors.As(err, &tooLarge):
-		return req, &result{code: answerer.CodeBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "the body is larger than the limit"}
-	case err != nil:
-		return req, &result{code: answerer.CodeBadRequest, status: http.StatusBadRequest, detail: "the body ended early or could not be read"}
-	}
-	if res := f.checkDeparture(f.clock(), req); res != nil {
-		return req, res // The stop began, or the request became late, while the body arrived.
+	if res := f.receiveBody(w, r, req, table, held); res != nil {
+		return req, res
 	}
-	req.body = body
 	req.header = f.forwardable(r.Header)
 	f.setTenant(req, table)
 	req.service = f.core.Split(req.route)
@@ -74,7 +60,7 @@
 	}
 	req.fingerprint = answerer.Request{
 		Service: identifier.ServiceName{Organisation: identifier.Organisation(r.Host)},
-		Key:     identifier.Key(r.Header.Get(f.names.Key)), Method: r.Method, Path: req.target, Body: body,
+		Key:     identifier.Key(r.Header.Get(f.names.Key)), Method: r.Method, Path: req.target, Body: req.body,
 	}.Fingerprint()
 	if f.core.IsQuarantined(req.fingerprint) {
 		return req, &result{code: answerer.CodeQuarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineRetryAfter,
@@ -83,6 +69,35 @@
 	return req, nil
 }
 
+// receiveBody reads the body of a request, unless its tenant's quota is used up, and counts the request as waiting for the
+// quota. It returns nil, or the answer to the caller.
+func (f *Forwarder) receiveBody(w http.ResponseWriter, r *http.Request, req *activeRequest, table *director.Table, held *rationer.Holding) *result {
+	if res := f.peekQuota(req, r); res != nil {
+		return res
+	}
+	body, err := readBody(w, r, req.deadline.Sub(req.arrived), table.Limits.MaxBodyBytes, held)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, rationer.ErrExhausted):
+		f.log.WithFields(logrus.Fields{"ID": req.id, "Length": r.ContentLength, "HeldBytes": f.memory.Held(), "LimitBytes": f.memory.Limit()}).Warning("body does not fit the memory that is left for requests, it was not read to its end")
+		return &result{code: answerer.CodeMemoryFull, status: http.StatusServiceUnavailable, retryAfter: memoryRetryAfter, detail: "the instance has no memory for the body at present; the request was not sent"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &result{code: answerer.CodeExpired, status: http.StatusRequestTimeout, detail: "the body did not arrive before the deadline; the request was not sent"}
+	case errors.As(err, &tooLarge):
+		return &result{code: answerer.CodeBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "the body is larger than the limit"}
+	case err != nil:
+		return &result{code: answerer.CodeBadRequest, status: http.StatusBadRequest, detail: "the body ended early or could not be read"}
+	}
+	if res := f.checkDeparture(f.clock(), req); res != nil {
+		return res // The stop began, or the request became late, while the body arrived.
+	}
+	if res := f.enterQuota(req); res != nil {
+		return res
+	}
+	req.body = body
+	return nil
+}
+
 // readBody reads a caller's body of at most limit bytes, which are counted in held. It fails if the body takes longer than
 // the given time.
 func readBody(w http.ResponseWriter, r *http.Request, within time.Duration, limit int64, held *rationer.Holding) ([]byte, error) {
--- a/forwarder/tenants.go
+++ b/forwarder/tenants.go
@@ -1,11 +1,14 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/authenticator"
 	"github.com/turmericlift/turmericlift/director"
+	"github.com/turmericlift/turmericlift/scheduler"
 )
 
 // authenticate finds the tenant of a request. It returns nil, or the answer to a request that needs an API key and has no
@@ -39,3 +42,66 @@
 	}
 	return req.route.Priority
 }
+
+// QuotaRefusal is the refusal of a request for its tenant's quota.
+type QuotaRefusal struct {
+	Unknown    bool // The instance does not know how much of the quota others use.
+	RetryAfter time.Duration
+}
+
+// result returns the answer to a request that was refused.
+func (q *QuotaRefusal) result() *result {
+	if q.Unknown {
+		return &result{code: answerer.CodeQuotaUnknown, status: http.StatusServiceUnavailable, retryAfter: q.RetryAfter, detail: "the instance has no part of the tenant's quota at present; the request was not sent"}
+	}
+	return &result{code: answerer.CodeOverQuota, status: http.StatusTooManyRequests, retryAfter: q.RetryAfter, detail: "the tenant's quota is used up; the request was not sent"}
+}
+
+// peekQuota refuses a request whose body need not be read, because its tenant's quota is used up. It returns nil if the
+// request is not refused.
+func (f *Forwarder) peekQuota(req *activeRequest, r *http.Request) *result {
+	if r.ContentLength == 0 {
+		return nil // It is decided at once by enterQuota.
+	}
+	if refusal := f.core.PeekQuota(req.tenant); refusal != nil {
+		return refusal.result()
+	}
+	return nil
+}
+
+// enterQuota refuses a request whose tenant's quota is used up before it waits for a backend server. It returns nil if the
+// request is not refused.
+func (f *Forwarder) enterQuota(req *activeRequest) *result {
+	if refusal := f.core.EnterQuota(req.tenant); refusal != nil {
+		return refusal.result()
+	}
+	req.inQuota = req.tenant != nil
+	return nil
+}
+
+// leaveQuota ends the waiting of a request that enterQuota let in.
+func (f *Forwarder) leaveQuota(req *activeRequest) {
+	if req.inQuota {
+		req.inQuota = false
+		f.core.LeaveQuota(req.tenant)
+	}
+}
+
+// takeQuota counts a request that is about to be sent to the server of a decision. It returns nil if it may be sent;
+// otherwise the server is released.
+func (f *Forwarder) takeQuota(ctx, caller context.Context, req *activeRequest, d scheduler.Decision) *result {
+	f.leaveQuota(req)
+	refusal := f.core.TakeQuota(ctx, req.tenant)
+	if refusal == nil {
+		return nil
+	}
+	f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
+	if ctx.Err() != nil {
+		return f.abandoned(caller, req, false)
+	}
+	res := refusal.result()
+	if req.mayHaveRun { // An earlier attempt may have run, which the status must not deny.
+		res.status, res.retryAfter = http.StatusBadGateway, 0
+	}
+	return res
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -55,6 +55,7 @@
 	KindRequest Kind = 1 // A caller's request, forwarded to a coordinator.
 	KindRecord  Kind = 2 // A call of package recorder to a journal writer.
 	KindCopy    Kind = 3 // A request for another instance's copies of the platform's objects.
+	KindQuota   Kind = 4 // A call of package rentier to the distributor of the tenants' quotas.
 )
 
 // UnreachableError reports that a peer could not be reached and has not received the message or request.
