--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -93,10 +93,10 @@
 	// PipelinedRequests says that callers send further requests before the first is answered, so that package pipeliner
 	// serves their connections.
 	PipelinedRequests bool
-	QuotaWindow      time.Duration // The sliding window in which requests of a tenant are counted.
-	QuotaOvershoot   float64       // The fraction by which the requests of a tenant may exceed its quota.
-	QuotaSlack       float64       // A number of requests that a tenant may have in addition in a window.
-	Bootstrap        bool          // The whole installation starts for the first time.
+	QuotaWindow       time.Duration // The sliding window in which requests of a tenant are counted.
+	QuotaOvershoot    float64       // The fraction by which the requests of a tenant may exceed its quota.
+	QuotaSlack        float64       // A number of requests that a tenant may have in addition in a window.
+	Bootstrap         bool          // The whole installation starts for the first time.
 }
 
 // Store is the client of the platform's store. Put writes an object if its present version is
