exchanger, sender: an answer with a status below 100, or 101, is a broken answer

Callers got answers with status 000. exchanger took each status below 200, also one with a sign (+20, -00), for an interim answer and waited for the next answer until the deadline, or took what followed for the answer. sender, through net/http, passed statuses below 100 on as answers that had run, kept such connections, and did not return at all after 101: the body is then the connection itself, whose reading does not end with the context.

Such answers are broken answers now: 502 unless the request can be repeated (entry), Unknown with BackendBroke (serve); the connection is closed. 100 to 199 without 101 remain interim answers, at most three before an answer in exchanger, and the bound of net/http in sender; in exchanger one with a body is broken too, since what follows may be a part of it.

TestStatuses of both packages, with raw answers on sockets, each followed by a valid answer and alone, failed before: exchanger 18 of 44 cases (200 from the answer behind it, or 10 s until the deadline), sender 20 cases (status 0, 20 or 99 passed on, or 10 s until the deadline), and both cases of 101 without a body did not return within 40 s. They pass now, with -race.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -83,7 +83,7 @@
 
 var (
 	errForeignTooLarge = errors.New("body of an answer to another request is larger than 1 MiB")
-	errTooManyForeign  = errors.New("too many answers to other requests on the connection")
+	errTooManyForeign  = errors.New("too many interim answers and answers to other requests on the connection")
 	errNoLength        = errors.New("answer to another request has no length, so its end is unknown")
 	// ErrNoConnection is the cause of an UnsentError if the pool has as many connections as it may, or is closed.
 	ErrNoConnection = errors.New("connection limit reached or pool closed")
@@ -223,7 +223,10 @@
 		if err != nil {
 			return Answer{}, true, err
 		}
-		if resp.StatusCode < http.StatusOK { // An interim answer (1xx), which has no body.
+		if resp.StatusCode < http.StatusOK {
+			if err := checkInterim(resp); err != nil {
+				return Answer{}, true, err
+			}
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return granter.OrderAnswer{}, fmt.Errorf("order to %s: %w", address, err)
 	}
-	resp, err := s.orders.RoundTrip(req.WithContext(ctx))
+	resp, err := roundTrip(s.orders, req.WithContext(ctx))
 	if err != nil {
 		return granter.OrderAnswer{}, fmt.Errorf("order to %s: %w", address, err)
 	}
@@ -140,7 +140,7 @@
 	if s.refused.has(r.ID) {
 		transport = s.again
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := roundTrip(transport, req)
 	if err != nil {
 		return answerToError(ctx, err, gotConnection.Load())
 	}
