rationer: data that stop arriving lose their holding, and tiny holdings have a reserve

Incomplete bodies held the memory for bodies until their deadlines, so that others were refused. Data that have arrived are not revoked, and nobody waits for memory.

--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"math/rand"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/turmericlift/turmericlift/rationer"
 )
@@ -85,6 +87,114 @@
 	}
 }
 
+// stallingReader returns some bytes, and then waits until it is interrupted.
+type stallingReader struct {
+	data      []byte
+	stalled   chan<- struct{}
+	interrupt <-chan struct{}
+}
+
+func (s *stallingReader) Read(p []byte) (int, error) {
+	if len(s.data) > 0 {
+		n := copy(p, s.data)
+		s.data = s.data[n:]
+		return n, nil
+	}
+	s.stalled <- struct{}{}
+	<-s.interrupt
+	return 0, errors.New("interrupted")
+}
+
+// TestRevocation guards against data that never arrive whole and keep others from being read for ever: what has stalled for
+// longest is revoked for others, however the bound is exceeded. Data that have arrived are not revoked, nor those that have just
+// stalled.
+func TestRevocation(t *testing.T) {
+	const limit = 1 << 20
+	var mu sync.Mutex
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); defer mu.Unlock(); now = now.Add(d) }
+	r := rationer.New(limit)
+	type result struct {
+		n   int
+		err error
+	}
+	results := make([]chan result, 4)
+	holdings := make([]*rationer.Holding, 4)
+	for n := range results {
+		stalled, interrupt := make(chan struct{}, 1), make(chan struct{})
+		results[n], holdings[n] = make(chan result, 1), r.Open()
+		holdings[n].AllowRevocation(clock, func() { close(interrupt) })
+		go func() {
+			_, err := holdings[n].ReadAll(&stallingReader{make([]byte, 1000), stalled, interrupt}, 180<<10)
+			results[n] <- result{n, err}
+		}()
+		<-stalled
+		advance(100 * time.Millisecond)
+	}
+	next := func(size int) error {
+		h := r.Open()
+		defer h.Close()
+		h.AllowRevocation(clock, func() {})
+		_, err := h.ReadAll(bytes.NewReader(make([]byte, size)), int64(size))
+		return err
+	}
+	if err := next(100 << 10); !errors.Is(err, rationer.ErrExhausted) {
+		t.Errorf("data that need the memory of others that have just stalled: %v, want ErrExhausted", err)
+	}
+	if err := next(rationer.SmallBytes); err != nil {
+		t.Errorf("small data: %v", err)
+	}
+	advance(rationer.StallTime - 300*time.Millisecond) // Two of them have stalled for long enough.
+	if err := next(100 << 10); err != nil {
+		t.Errorf("data that need the memory of others that have stalled: %v", err)
+	}
+	if got := <-results[0]; !errors.Is(got.err, rationer.ErrRevoked) {
+		t.Errorf("the data that have stalled for longest: %v, want ErrRevoked", got.err)
+	}
+	if err := holdings[0].Unless(func() { t.Error("the read of revoked data is prolonged") }); !errors.Is(err, rationer.ErrRevoked) {
+		t.Errorf("revoked holding: %v", err)
+	}
+	select {
+	case got := <-results[1]:
+		t.Errorf("data %d were revoked although their memory was not needed: %v", got.n, got.err)
+	default:
+	}
+	whole := r.Open()
+	whole.AllowRevocation(clock, func() { t.Error("data that have arrived are revoked") })
+	if _, err := whole.ReadAll(bytes.NewReader(make([]byte, 200<<10)), 200<<10); err != nil {
+		t.Errorf("data that need the memory of others that have stalled: %v", err)
+	}
+	advance(10 * rationer.StallTime)
+	if err := next(700 << 10); !errors.Is(err, rationer.ErrExhausted) {
+		t.Errorf("data that need the memory of data that have arrived: %v, want ErrExhausted", err)
+	}
+	for n, h := range holdings {
+		if n > 0 {
+			<-results[n]
+		}
+		h.Close()
+	}
+	whole.Close()
+	if r.Held() != 0 {
+		t.Errorf("%d bytes held after the end", r.Held())
+	}
+}
+
+// TestTinyHoldings guards against small incomplete bodies that lock tiny ones out.
+func TestTinyHoldings(t *testing.T) {
+	r := rationer.New(10 << 20)
+	for r.Open().Resize(rationer.SmallBytes) {
+	}
+	for r.Open().Resize(rationer.TinyBytes + 1) {
+	}
+	for n := range 100 {
+		if !r.Open().Resize(rationer.TinyBytes) {
+			t.Fatalf("tiny holding %d is refused beside small ones", n)
+		}
+	}
+}
+
 // endlessReader never ends.
 type endlessReader struct{}
 
--- a/rationer/reader.go
+++ b/rationer/reader.go
@@ -14,18 +14,30 @@
 
 // ReadAll reads data to its end into memory that is counted in the holding. length is the expected length of the data, or -1
 // if it is unknown. It returns an error that wraps ErrExhausted as soon as the data do not fit the bound, which is before any of them
-// are read if their length is known. The holding keeps the bytes until it is closed.
+// are read if their length is known, and ErrRevoked if the holding is revoked. The holding keeps the bytes until it is closed.
 func (h *Holding) ReadAll(r io.Reader, length int64) ([]byte, error) {
+	data, err := h.readAll(r, length)
+	if revoked := h.endReading(); revoked != nil {
+		return nil, revoked
+	}
+	return data, err
+}
+
+// readAll is ReadAll without the end of the reading.
+func (h *Holding) readAll(r io.Reader, length int64) ([]byte, error) {
 	size := length
 	if length < 0 {
 		size = firstBytes
 	}
-	if !h.Resize(size) {
-		return nil, h.exhausted(size)
+	if err := h.reserve(size); err != nil {
+		return nil, err
 	}
 	data := make([]byte, 0, size)
 	var next [1]byte
 	for {
+		if err := h.recordProgress(); err != nil {
+			return nil, err
+		}
 		into := data[len(data):cap(data)]
 		if len(into) == 0 {
 			into = next[:] // Finds the end without room for more.
@@ -52,8 +64,8 @@
 // grow returns a copy of data with twice the capacity. Both are held while one is copied.
 func (h *Holding) grow(data []byte) ([]byte, error) {
 	size := max(2*int64(cap(data)), firstBytes)
-	if !h.Resize(size + int64(cap(data))) {
-		return nil, h.exhausted(size + int64(cap(data)))
+	if err := h.reserve(size + int64(cap(data))); err != nil {
+		return nil, err
 	}
 	grown := make([]byte, len(data), size)
 	copy(grown, data)
