forwarder: a body must make progress, and its memory can be revoked

A body that stopped arriving held its memory until the request's deadline. Further bytes must arrive within header_timeout_s (3 s) now, and the body is given up sooner if others need its memory: 408, not sent. The rest of a body that is refused for lack of memory is read up to 64 MiB. Log lines on refused bodies have the ID, the bound and the value, and are bounded in rate. The caller's connection is reset by an interface, as it may be wrapped.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -39,7 +39,7 @@
 
 // abort ends the caller's connection by a reset. A regular close would make an answer without length look complete.
 func abort(ctx context.Context) {
-	if tcp, ok := ctx.Value(callerConnKey{}).(*net.TCPConn); ok {
+	if tcp, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // An error needs no handling: the connection is closed next.
 	}
 	panic(http.ErrAbortHandler)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/logger"
 	"github.com/turmericlift/turmericlift/rationer"
 	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/scheduler"
@@ -97,6 +98,7 @@
 	clock        func() time.Time
 	log          *logrus.Entry
 	departure    atomic.Pointer[Departure] // Nil unless the instance stops.
+	refusals     logger.Throttle           // For log lines on refused bodies.
 	ended        context.Context           // Ends at the end of a planned stop.
 	endRequests  context.CancelFunc
 
@@ -110,7 +112,7 @@
 	ended, end := context.WithCancel(context.Background())
 	return &Forwarder{
 		names: names, decodeNotice: decodeNotice, core: core, memory: memory, clock: clock, log: log, longestTime: map[string]time.Duration{},
-		ended: ended, endRequests: end,
+		refusals: logger.Throttle{Interval: refusalLogInterval}, ended: ended, endRequests: end,
 	}
 }
 
@@ -180,7 +182,7 @@
 	err := f.write(w, req, res)
 	f.record(req, res)
 	if res.code == answerer.CodeMemoryFull {
-		discardBody(w, r)
+		discardBody(w, r, maxDiscardedBytes)
 	}
 	if err != nil {
 		f.log.WithFields(logrus.Fields{"ID": req.id, "Server": req.server, "Error": err}).Info("answer broke off after its first part was sent to the caller, or the caller left; its connection is reset")
--- a/forwarder/parse.go
+++ b/forwarder/parse.go
@@ -1,16 +1,11 @@
 package forwarder
 
 import (
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/turmericlift/turmericlift/answerer"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/identifier"
@@ -75,18 +70,9 @@
 	if res := f.peekQuota(req, r); res != nil {
 		return res
 	}
-	body, err := readBody(w, r, req.deadline.Sub(req.arrived), table.Limits.MaxBodyBytes, held)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, rationer.ErrExhausted):
-		f.log.WithFields(logrus.Fields{"ID": req.id, "Length": r.ContentLength, "HeldBytes": f.memory.Held(), "LimitBytes": f.memory.Limit()}).Warning("body does not fit the memory that is left for requests, it was not read to its end")
-		return &result{code: answerer.CodeMemoryFull, status: http.StatusServiceUnavailable, retryAfter: memoryRetryAfter, detail: "the instance has no memory for the body at present; the request was not sent"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &result{code: answerer.CodeExpired, status: http.StatusRequestTimeout, detail: "the body did not arrive before the deadline; the request was not sent"}
-	case errors.As(err, &tooLarge):
-		return &result{code: answerer.CodeBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "the body is larger than the limit"}
-	case err != nil:
-		return &result{code: answerer.CodeBadRequest, status: http.StatusBadRequest, detail: "the body ended early or could not be read"}
+	body, res := f.readBody(w, r, req.id, req.deadline.Sub(req.arrived), table.Limits, held)
+	if res != nil {
+		return res
 	}
 	if res := f.checkDeparture(f.clock(), req); res != nil {
 		return res // The stop began, or the request became late, while the body arrived.
@@ -98,37 +84,6 @@
 	return nil
 }
 
-// readBody reads a caller's body of at most limit bytes, which are counted in held. It fails if the body takes longer than
-// the given time.
-func readBody(w http.ResponseWriter, r *http.Request, within time.Duration, limit int64, held *rationer.Holding) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit = max(limit, 1)
-	if r.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	// Not all writers have deadlines: those that have none are not bounded.
-	caller := http.NewResponseController(w)
-	_ = caller.SetReadDeadline(time.Now().Add(within))
-	body, err := held.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, rationer.ErrExhausted) {
-		return nil, err // The deadline stays, or net/http would wait for the rest of the body before it answers.
-	}
-	// net/http goes on reading from the connection, to notice that the caller leaves.
-	_ = caller.SetReadDeadline(time.Time{})
-	return body, err
-}
-
-// discardBody sends the answer and reads the rest of a body that was refused, until the read deadline: closing the connection
-// while the caller still sends would reset it, and the caller might lose the answer.
-func discardBody(w http.ResponseWriter, r *http.Request) {
-	if err := http.NewResponseController(w).Flush(); err != nil {
-		return // The caller has left.
-	}
-	_, _ = io.Copy(io.Discard, r.Body) // An error means that the caller has left, or that its time is over.
-}
-
 // parseKey reads the key of a request to a keyed service. It returns nil, or the answer to a request whose key is
 // invalid.
 func (f *Forwarder) parseKey(req *activeRequest, table *director.Table, r *http.Request) *result {
