logger: the lines that wait for the output are bounded in bytes

With an output that blocks, 4,096 lines with the longest request IDs that clients may send held 64 MB. The lines that wait hold at most 4 MiB now, which has room for as many lines of usual size; others are dropped and counted.

TestBlockedOutputLongLines kept 16 MB before, and passes now, with -race.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -11,10 +11,15 @@
 // bufferedLines is the number of lines that may wait for the output.
 const bufferedLines = 4096
 
+// bufferedBytes bounds the size of the lines that wait for the output, those of the write that is under way included. It has
+// room for bufferedLines of usual size, but not for as many with the longest request IDs.
+const bufferedBytes = 4 << 20
+
 // Writer passes lines on to an output that may block. Write and Dropped may be called concurrently.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	bytes   atomic.Int64 // Size of the lines that wait.
 	dropped atomic.Uint64
 	done    chan error
 }
@@ -27,9 +32,16 @@
 // Write queues a copy of a line, or drops the line if the buffer is full. It returns len(line) and
 // never an error.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.bytes.Add(size) > bufferedBytes {
+		w.bytes.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.bytes.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -71,5 +83,6 @@
 		batch = append(batch, <-w.lines...)
 	}
 	_, err := w.out.Write(batch)
+	w.bytes.Add(-int64(len(batch)))
 	return err
 }
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -32,6 +32,26 @@
 	<-w.Done()
 }
 
+// TestBlockedOutputLongLines guards against long lines, such as those with the longest request IDs that clients may send, that
+// take memory without bound while the output blocks.
+func TestBlockedOutputLongLines(t *testing.T) {
+	reader, output := io.Pipe() // Nobody reads from the pipe, so that a write blocks.
+	w := logger.New(output)
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.Run(ctx)
+	const lines, length, most = 1000, 16 << 10, 4 << 20
+	line := strings.Repeat("x", length)
+	for range lines {
+		_, _ = io.WriteString(w, line)
+	}
+	if kept := lines - int(w.Dropped()); kept > most/length {
+		t.Errorf("%d lines of %d bytes are kept, want at most %d bytes", kept, length, most)
+	}
+	_ = reader.Close()
+	cancel()
+	<-w.Done()
+}
+
 // TestLines checks that all lines are written in order, including those that are still queued when
 // ctx ends.
 func TestLines(t *testing.T) {
