scheduler: choose servers of pools by expected completion, if CostAware

On a pool that 72 instances use at a third of its capacity, requests waited at slow or busy servers while others had free slots: all instances chose the server that looked best by the same old counts, and servers that were full reset connections.

With scheduler.Options.CostAware (conductor.Settings.CostAware, off by default) an instance prefers a few servers of its zone, draws random candidates from them, and takes the one with the lowest expected time to the answer. The forecast uses the estimated work of the request, the speed of the server, its last reported slowness and its last counts, each of which approaches the average as it ages, and the remaining work of this instance's own requests.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -97,6 +97,7 @@
 	QuotaOvershoot    float64       // The fraction by which the requests of a tenant may exceed its quota.
 	QuotaSlack        float64       // A number of requests that a tenant may have in addition in a window.
 	Bootstrap         bool          // The whole installation starts for the first time.
+	CostAware         bool          // Requests are sent and refused by estimates of their work; see scheduler.Options.
 }
 
 // Store is the client of the platform's store. Put writes an object if its present version is
@@ -249,7 +250,7 @@
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.Capacity, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{LeaseDuration: min(grantLeaseDuration, s.MaxLeaseDuration), RenewInterval: grantRenewInterval, ConfirmationTimeout: confirmationTimeout},
 	}, c.logOwnershipEvent)
-	c.scheduler = scheduler.New(now, s.Zone, c, c)
+	c.scheduler = scheduler.New(now, s.Zone, c, c, scheduler.Options{CostAware: s.CostAware})
 	for _, seed := range s.Seeds {
 		c.ownership.Gossip.AddHint(seed)
 	}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -64,7 +64,8 @@
 		triggered := now.Sub(sentAt) < gossiper.SendInterval/2
 		if !triggered {
 			sentAt = now
-			c.scheduler.RecordPeerLoad(c.ownership.Gossip.Load(now, maps.Keys(c.view.entries)))
+			running, waiting := c.ownership.Gossip.Load(now, maps.Keys(c.view.entries))
+			c.scheduler.RecordPeerLoad(now, running, waiting)
 		}
 		messages := c.messages(now, &report, triggered)
 		for _, p := range c.ownership.Gossip.ReconnectTargets(now) {
--- a/estimator/distribution.go
+++ b/estimator/distribution.go
@@ -37,9 +37,9 @@
 func newDistribution(work float64) *Distribution {
 	d := &Distribution{}
 	at := math.Log(work)
-	for offset, share := range map[float64]float64{-0.7: 0.25, 0: 0.5, 0.7: 0.25} {
-		d.add(at+offset, share*priorWeight)
-	}
+	d.add(at-0.7, 0.25*priorWeight)
+	d.add(at, 0.5*priorWeight)
+	d.add(at+0.7, 0.25*priorWeight)
 	d.update()
 	return d
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -215,28 +215,6 @@
 	}
 }
 
-// urgent reports whether a request may use the reserved part of the bound on retries: it is a retry, and another
-// refusal would make it fail for good, or it is not idempotent, and so worth more than most requests.
-func (req *activeRequest) urgent() bool { return req.isRetry || !req.route.Idempotent }
-
-// pending returns the request as the scheduler gets it.
-func (req *activeRequest) pending() *scheduler.PendingRequest {
-	return &scheduler.PendingRequest{
-		Service: req.service, Keyed: req.keyed, Key: req.key, Priority: req.priority(), IsRetry: req.isRetry,
-		Retryable: req.route.Idempotent && req.sends+1 < req.route.MaxAttempts, Arrived: req.arrived, TargetTime: req.arrived.Add(req.route.TargetLatency), Deadline: req.deadline,
-		Tried: req.tried(), Decided: make(chan scheduler.Decision, 1),
-	}
-}
-
-// tried returns the servers to which the request must not be sent again. It is nil for a request for a key, which only
-// the key's owner can run.
-func (req *activeRequest) tried() map[identifier.BackendServer]bool {
-	if req.keyed {
-		return nil
-	}
-	return req.sent
-}
-
 // attempt sends the request to one backend server. It returns nil if the request must be sent again.
 func (f *Forwarder) attempt(ctx, caller context.Context, req *activeRequest, d scheduler.Decision) *result {
 	started := f.clock()
@@ -449,6 +427,9 @@
 		fields["Key"], fields["Owner"], fields["Epoch"], fields["Allocation"], fields["Moving"] = req.key, own.Server, own.Epoch, own.Version, own.Moving
 	}
 	fields["Cold"], fields["Sharers"], fields["ViewAgeMs"] = req.inputs.Cold, req.inputs.Sharers, req.inputs.ViewAge.Milliseconds()
+	if req.inputs.Work > 0 {
+		fields["WorkMs"], fields["ExpectedMs"], fields["LoadAgeMs"] = int(req.inputs.Work+half), req.inputs.Expected.Milliseconds(), req.inputs.LoadAge.Milliseconds()
+	}
 	if res.code != answerer.CodeOK {
 		fields["Running"], fields["Others"], fields["LoadAgeMs"] = req.inputs.Running, int(req.inputs.OtherLoad+half), req.inputs.LoadAge.Milliseconds()
 		fields["Ahead"], fields["WaitMs"], fields["RetryAfterMs"] = req.inputs.Ahead, req.inputs.ExpectedWait.Milliseconds(), res.retryAfter.Milliseconds()
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -49,6 +49,9 @@
 	}
 	sv.running--
 	sv.recordEnd(r.Send)
+	if s.options.CostAware {
+		s.learn(now, sv, r)
+	}
 	sv.doubt.recordReach(now, r.Outcome)
 	switch r.Outcome {
 	case Answered:
--- a/scheduler/return_test.go
+++ b/scheduler/return_test.go
@@ -14,7 +14,7 @@
 	const instances, slots, serviceMs, retryAfter = 30, 2, 100, time.Second // The server runs 20 requests a second.
 	var sent []time.Time
 	for n := range instances {
-		s := scheduler.New(start.Add(-time.Minute+time.Duration(n)*time.Millisecond), "a", fixedOwner{registrar.Ownership{Server: "x", Incarnation: 1, Ready: true}}, equalShares(instances))
+		s := scheduler.New(start.Add(-time.Minute+time.Duration(n)*time.Millisecond), "a", fixedOwner{registrar.Ownership{Server: "x", Incarnation: 1, Ready: true}}, equalShares(instances), scheduler.Options{})
 		s.SetServers([]scheduler.Candidate{candidate("x", "a", slots)})
 		newRequest := func(now time.Time) *scheduler.PendingRequest {
 			return &scheduler.PendingRequest{Service: "s", Keyed: true, Arrived: now, TargetTime: now.Add(time.Second), Deadline: now.Add(4 * time.Second), Decided: make(chan scheduler.Decision, 1)}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,67 +14,10 @@
 	"time"
 
 	"github.com/turmericlift/turmericlift/apportioner"
-	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/registrar"
 )
 
-// PendingRequest is a request that waits for a decision of the Scheduler.
-type PendingRequest struct {
-	Service    identifier.Service
-	Keyed      bool
-	Key        identifier.ShardKey
-	Priority   director.Priority
-	IsRetry    bool      // The request is a retry: its caller was refused before.
-	Arrived    time.Time // The time at which the request reached this instance.
-	TargetTime time.Time // An answer after this time is worth less.
-	Deadline   time.Time
-	// Retryable requests may be sent to another server if theirs seems not to know them.
-	Retryable bool
-	Tried     map[identifier.BackendServer]bool // Servers to which the request must not be sent again.
-	// Decided receives exactly one decision, unless the request is cancelled first. The Scheduler does not wait for a
-	// receiver, so the channel needs a buffer of 1.
-	Decided chan Decision
-}
-
-// Reason says why a request was refused; it is NotRefused if the request was not refused.
-type Reason int
-
-// The reasons for which requests are refused.
-const (
-	NotRefused   Reason = iota
-	NoOwner             // No backend server can serve the key at present.
-	NoServer            // No server of the service accepts requests.
-	QueueTooLong        // The expected wait in the queue is longer than the deadline allows.
-	Expired             // Too little time is left before the deadline for an answer.
-)
-
-// Decision is the outcome for one request. With Reason NotRefused the request goes to Server; otherwise it is refused,
-// and its caller may retry after RetryAfter.
-type Decision struct {
-	Server     registrar.Entry
-	Send       Send // Identifies the request at the server in its Report.
-	Reason     Reason
-	RetryAfter time.Duration
-	Inputs     Inputs
-}
-
-// Inputs are the values from which a decision was made, for the log.
-type Inputs struct {
-	Owner        registrar.Ownership
-	Running      int           // Number of this instance's requests at the server.
-	OtherLoad    float64       // Estimated number of other instances' requests at the server.
-	LoadAge      time.Duration // Age of the server's last load report; 0 if there was none.
-	Ahead        int           // Number of requests ahead of this one in the queue.
-	ExpectedWait time.Duration
-	// Cold reports whether the request rate of a cold server was applied to the server, and Sharers is the number of
-	// instances among which it was divided.
-	Cold    bool
-	Sharers int
-	// ViewAge is the time for which changes of backend servers and evacuations may have gone unnoticed.
-	ViewAge time.Duration
-}
-
 // Owners looks up the owners of keys.
 type Owners interface {
 	// Owner returns the owner of a key of a keyed service at the given time.
@@ -121,14 +64,19 @@
 
 // Scheduler holds the queues and server estimates of one instance. It is not safe for concurrent use.
 type Scheduler struct {
-	startedAt time.Time
-	zone      identifier.Zone
-	owners    Owners
-	servers   map[identifier.BackendServer]*server
-	pools     map[identifier.Service][]*server // Sorted by server ID.
-	queues    map[identifier.Service][]*PendingRequest
-	latency   map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
-	shares    Shares
+	options   Options
+	estimates *estimates
+	// subsetSeed differs between instances, so that each prefers other servers of a pool.
+	subsetSeed uint64
+	startedAt  time.Time
+	zone       identifier.Zone
+	owners     Owners
+	servers    map[identifier.BackendServer]*server
+	pools      map[identifier.Service][]*server // Sorted by server ID.
+	subsets    map[identifier.Service][]*server // Those that this instance prefers if it is cost-aware.
+	queues     map[identifier.Service][]*PendingRequest
+	latency    map[identifier.Service]float64 // Moving average of the latency, in milliseconds.
+	shares     Shares
 	// informedAt is the time up to which the instance knows all changes of backend servers and evacuations; zero if it
 	// is told of each change.
 	informedAt time.Time
@@ -147,10 +95,18 @@
 	Share(now time.Time, id identifier.BackendServer) apportioner.Share
 }
 
+// Options switch on behaviour that is off by default.
+type Options struct {
+	// CostAware makes decisions follow estimates of the work of requests, the speed of servers and the loads of all
+	// instances, each with its age.
+	CostAware bool
+}
+
 // New returns a Scheduler for an instance in the given zone whose process starts now. It looks up the owners of keys in
 // owners, and its share of the request rates of cold servers in shares.
-func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares) *Scheduler {
+func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares, options Options) *Scheduler {
 	return &Scheduler{
+		options: options, estimates: newEstimates(), subsetSeed: uint64(now.UnixNano()), subsets: map[identifier.Service][]*server{},
 		startedAt: now, retryJitter: uint64(now.UnixNano()), zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
 		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
@@ -357,6 +313,11 @@
 // those that have capacity. ahead is the number of requests that stay in the queue before this one; a request that
 // stays is added to it, and false is returned.
 func (s *Scheduler) decidePooled(now time.Time, r *PendingRequest, ahead *int) (Decision, bool) {
+	if s.options.CostAware {
+		if c := s.chooseServer(now, r); c.server != nil {
+			return s.assignChoice(now, r, c), true
+		}
+	}
 	var best, doubtful *server
 	lowest, lowestDoubtful := math.Inf(1), math.Inf(1)
 	capacity, usable := 0.0, 0
@@ -368,7 +329,7 @@
 		usable++
 		pause = min(pause, max(sv.pausedUntil.Sub(now), 0))
 		capacity += max(sv.requestLimit(now)-sv.otherLoad(now), 0.5)
-		if !s.hasCapacity(now, sv) {
+		if s.options.CostAware || !s.hasCapacity(now, sv) {
 			if c := s.cost(now, sv); c < lowestDoubtful && s.needsHealthCall(now, sv) {
 				doubtful, lowestDoubtful = sv, c
 			}
@@ -399,10 +360,13 @@
 // assign assigns a request to a server and counts it as running there.
 func (s *Scheduler) assign(now time.Time, r *PendingRequest, sv *server) Decision {
 	in := s.inputs(now, sv)
+	s.sends++
+	if s.options.CostAware {
+		s.recordSentWork(now, r, sv, s.sends)
+	}
 	sv.running++
 	sv.lastSentAt = now
 	sv.cold.RecordRequest(now)
-	s.sends++
 	if r.Retryable {
 		sv.sent = append(sv.sent, sentRequest{s.sends, now})
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -144,7 +144,7 @@
 	case "nobody":
 		own = registrar.Ownership{}
 	}
-	p.s = scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1))
+	p.s = scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1), scheduler.Options{})
 	p.s.SetServers(p.candidates)
 }
 
@@ -169,7 +169,7 @@
 // TestRefusalsSpread refuses 100 requests at the same time. If they all got the same retry time, their callers would
 // retry at the same time and be refused together again.
 func TestRefusalsSpread(t *testing.T) {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1))
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{})
 	seen := map[time.Duration]bool{}
 	for range 100 {
 		request := &scheduler.PendingRequest{Service: "s", Keyed: true, Arrived: start, Deadline: start.Add(time.Second), Decided: make(chan scheduler.Decision, 1)}
@@ -186,7 +186,7 @@
 // deadline.
 func TestBurst(t *testing.T) {
 	rng := rand.New(rand.NewSource(3))
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1))
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{})
 	s.SetServers([]scheduler.Candidate{candidate("x", "a", 4), candidate("y", "b", 4)})
 	type runningRequest struct {
 		server identifier.BackendServer
@@ -251,7 +251,7 @@
 	own := registrar.Ownership{Server: "x", Incarnation: 1, Ready: true}
 	var all []*scheduler.Scheduler
 	for range instances {
-		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1))
+		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{own}, equalShares(1), scheduler.Options{})
 		s.SetServers([]scheduler.Candidate{candidate("x", "a", slots)})
 		all = append(all, s)
 	}
@@ -280,7 +280,7 @@
 						waiting += other.WaitingByServer()["x"]
 					}
 				}
-				s.RecordPeerLoad(map[identifier.BackendServer]int{"x": running}, map[identifier.BackendServer]int{"x": waiting})
+				s.RecordPeerLoad(now, map[identifier.BackendServer]int{"x": running}, map[identifier.BackendServer]int{"x": waiting})
 			}
 		}
 		for n := range atServer {
@@ -326,7 +326,7 @@
 // TestColdBound sends requests for a cold server at a higher rate than it can run. This instance must not send more
 // than its share of the server's rate in any second.
 func TestColdBound(t *testing.T) {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(2))
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(2), scheduler.Options{})
 	c := candidate("x", "a", 50)
 	c.ColdUntil, c.ColdRate = start.Add(time.Hour), 16
 	s.SetServers([]scheduler.Candidate{c})
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -36,6 +36,12 @@
 	longest      time.Duration // The longest latency of an answer within longestRetention.
 	longestAt    time.Time
 	probedAt     time.Time
+	// The following are used by a cost-aware Scheduler only.
+	work          []sentWork // Requests of this instance at the server.
+	reportedCount float64    // Requests of other instances by the last load report.
+	peerCount     float64    // Requests of other instances by their last updates.
+	rank          uint64     // Among the servers that this instance prefers.
+	peerOffset    float64    // Moving average of the difference between peerCount and the average of the pool.
 }
 
 // Candidate is a backend server with the bounds that the configuration and operators set for it.
@@ -54,7 +60,7 @@
 // incarnation and address.
 func (s *Scheduler) SetServers(candidates []Candidate) {
 	known := map[identifier.BackendServer]*server{}
-	s.pools = map[identifier.Service][]*server{}
+	s.pools, s.subsets = map[identifier.Service][]*server{}, map[identifier.Service][]*server{}
 	for _, c := range candidates {
 		sv, ok := s.servers[c.ID]
 		if !ok || sv.entry.Incarnation != c.Incarnation || sv.entry.Address != c.Address {
@@ -178,7 +184,13 @@
 
 // RecordPeerLoad records how many requests the other instances together have at each server, and how many wait in their
 // queues for it, by the last updates of those instances. Servers that are missing count as 0.
-func (s *Scheduler) RecordPeerLoad(running, waiting map[identifier.BackendServer]int) {
+func (s *Scheduler) RecordPeerLoad(now time.Time, running, waiting map[identifier.BackendServer]int) {
+	if s.options.CostAware {
+		s.recordPeerCounts(now, running)
+		for service := range s.pools { // The number of instances may have changed.
+			s.updateSubset(now, service)
+		}
+	}
 	for id, sv := range s.servers {
 		sv.peerRunning += peerLoadWeight * (float64(running[id]) - sv.peerRunning)
 		sv.peerWaiting += peerLoadWeight * (float64(waiting[id]) - sv.peerWaiting)
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -29,7 +29,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := scheduler.New(start, "a", fixedOwner{}, equalShares(1))
+			s := scheduler.New(start, "a", fixedOwner{}, equalShares(1), scheduler.Options{})
 			x := candidate("x", "a", 10)
 			s.SetServers([]scheduler.Candidate{x})
 			var sends []scheduler.Send
@@ -55,7 +55,7 @@
 // them: none that cannot be sent again, and none that has been there for less time than others took. Load pattern: a server
 // answers some requests soon and works long on others, and its reports count what it had before.
 func TestLateLoadReports(t *testing.T) {
-	s := scheduler.New(start, "a", fixedOwner{}, equalShares(1))
+	s := scheduler.New(start, "a", fixedOwner{}, equalShares(1), scheduler.Options{})
 	s.SetServers([]scheduler.Candidate{candidate("x", "a", 10)})
 	send := func(at time.Duration, retryable bool) scheduler.Send {
 		now := start.Add(at)
@@ -83,7 +83,7 @@
 // TestSilentFreesRoom checks that a silent request does not count as running once its end is reported. Load pattern: a
 // server of two slots is silent to two requests, and its queue at this instance goes on.
 func TestSilentFreesRoom(t *testing.T) {
-	s := scheduler.New(start, "a", fixedOwner{registrar.Ownership{}}, equalShares(1))
+	s := scheduler.New(start, "a", fixedOwner{registrar.Ownership{}}, equalShares(1), scheduler.Options{})
 	x := candidate("x", "a", 2)
 	s.SetServers([]scheduler.Candidate{x})
 	decide := func(at time.Duration) (scheduler.Decision, bool) {
@@ -121,7 +121,7 @@
 // TestProbes checks when a server is probed. Load pattern: no other request goes to a server that is silent, so that no
 // answer tells its load; only services that are known to be silent are probed, since a probe costs the server time.
 func TestProbes(t *testing.T) {
-	s := scheduler.New(start, "a", fixedOwner{}, equalShares(1))
+	s := scheduler.New(start, "a", fixedOwner{}, equalShares(1), scheduler.Options{})
 	x, y := candidate("x", "a", 2), candidate("y", "a", 2)
 	s.SetServers([]scheduler.Candidate{x, y})
 	decide := func(at time.Duration) scheduler.Decision {
--- a/scheduler/stale_test.go
+++ b/scheduler/stale_test.go
@@ -57,7 +57,7 @@
 func newFleet(size int) *fleet {
 	f := &fleet{}
 	for n := range size {
-		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, fixedShare{apportioner.Share{Sharers: size, Rank: n}})
+		s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, fixedShare{apportioner.Share{Sharers: size, Rank: n}}, scheduler.Options{})
 		c := candidate("s-1", "a", slots)
 		c.ColdRate, c.ColdFor = coldRate, coldFor
 		s.SetServers([]scheduler.Candidate{c})
