scheduler, booker: order by urgency and lateness, refuse at arrival, book returns

On a service whose keys have one owner each, bursts on hot keys made reads with a target of 400 ms late, callers waited for answers that could not come, and those that were refused returned at random times and were refused again. The whole queue was sorted at each event.

If CostAware, requests wait in a line for each owner or pool, in groups by priority and by whether they can still meet their target time; a heap orders each group, retries first. Late requests go behind those of the next two priorities that are in time, and after ten requests of other groups a group gets one out of turn. A request is refused at arrival if the estimated work ahead of it, here and at other instances, leaves no time before its deadline. Its Retry-After is booked at half of the rate at which this instance's share of the servers becomes free, within a third of the time that the caller has left. At an owner that more instances want than it has slots, the pace follows the estimated work, and a less urgent or late request waits longer for its turn. A request that is not idempotent is held back from an owner that is probably full.

TestPoolChoice now holds the bound against the other rule at load 1.2 too.

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -41,7 +41,7 @@
 }
 
 // updateSubset determines which servers of a pool this instance prefers: those of its zone that rank first for it.
-func (s *Scheduler) updateSubset(now time.Time, service identifier.Service) {
+func (s *Scheduler) updateSubset(service identifier.Service) {
 	var subset []*server
 	for _, sv := range s.pools[service] {
 		if sv.entry.Zone == s.zone && !sv.excluded {
@@ -51,7 +51,7 @@
 	}
 	sort.Slice(subset, func(a, b int) bool { return subset[a].rank < subset[b].rank })
 	if len(subset) > 0 {
-		sharers := max(s.shares.Share(now, subset[0].entry.ID).Sharers, 1)
+		sharers := max(s.sharers, 1)
 		size := max(minSubset, (subsetShare*len(s.pools[service])+sharers-1)/sharers)
 		subset = subset[:min(size, len(subset))]
 	}
--- a/scheduler/doubt.go
+++ b/scheduler/doubt.go
@@ -97,7 +97,7 @@
 	} else {
 		sv.doubt.warmAt = askedAt
 	}
-	s.decideQueue(now, sv.entry.Service)
+	s.decideFor(now, sv)
 }
 
 // recordReach records whether a request could be sent to a server, and whether it was answered.
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -84,9 +84,15 @@
 // estimate is to the average load: a server that is chosen because an old count was low gets the requests of all instances.
 func (s *Scheduler) expectedPeerLoad(now time.Time, sv *server) peerLoad {
 	decay := loadDecayFactor * s.estimates.work.Service(sv.entry.Service).Mean() * s.slowdown(now, sv) * float64(time.Millisecond)
-	base := max(s.estimates.perSlot[sv.entry.Service]*float64(sv.entry.Slots)+sv.peerOffset, 0)
-	weight := math.Exp(-float64(now.Sub(s.estimates.peersAt)+peerLoadAge) / decay)
-	expected := base + weight*(sv.peerCount-base)
+	base := sv.peerRunning // Each owner of keys has a load of its own.
+	if !s.isKeyed(sv.entry.Service) {
+		base = max(s.estimates.perSlot[sv.entry.Service]*float64(sv.entry.Slots)+sv.peerOffset, 0)
+	}
+	expected, weight := base, 0.0
+	if !s.estimates.peersAt.IsZero() {
+		weight = math.Exp(-float64(now.Sub(s.estimates.peersAt)+peerLoadAge) / decay)
+		expected += weight * (sv.peerCount - base)
+	}
 	known := 0.0
 	if !sv.reportedAt.IsZero() {
 		weight = math.Exp(-float64(now.Sub(sv.reportedAt)) / decay)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -125,7 +125,7 @@
 )
 
 func (t *trial) after(d time.Duration, run func()) {
-	heap.Push(&t.events, event{t.now.Add(d), len(t.events) + int(t.rng.Int31n(1<<20)), run})
+	heap.Push(&t.events, event{t.now.Add(d), t.rng.Int(), run})
 }
 
 // meanWork returns the mean work of a request in milliseconds.
@@ -228,12 +228,8 @@
 	if r.at == nil {
 		r.at = t.fleet[t.rng.Intn(len(t.fleet))]
 	}
-	left := 1 // Further attempts are allowed unless the request may run once only.
-	if r.kind.runsOnce {
-		left = 0
-	}
 	p := &scheduler.PendingRequest{Service: "s", Keyed: t.keyed, Key: r.key, Priority: r.kind.priority, IsRetry: r.isRetry, Arrived: arrived,
-		TargetTime: r.first.Add(r.kind.target), Deadline: r.deadline, Retryable: left > 0, RunsOnce: r.kind.runsOnce, Tried: r.tried,
+		TargetTime: r.first.Add(r.kind.target), Deadline: r.deadline, Retryable: !r.kind.runsOnce, RunsOnce: r.kind.runsOnce, Tried: r.tried,
 		Class: estimator.Class{Service: "s", Route: r.kind.name, Method: "GET"}, Decided: make(chan scheduler.Decision, 1)}
 	if r.isRetry {
 		p.TargetTime = arrived.Add(r.kind.target) // An instance does not know the time of the first try.
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -85,5 +85,5 @@
 			sv.slowness, sv.slownessAt = r.Slowness, now
 		}
 	}
-	s.decideQueue(now, sv.entry.Service)
+	s.decideFor(now, sv)
 }
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -28,6 +28,8 @@
 	// Decided receives exactly one decision, unless the request is cancelled first. The Scheduler does not wait for a
 	// receiver, so the channel needs a buffer of 1.
 	Decided chan Decision
+
+	queued queuedRequest // Used by a cost-aware Scheduler only.
 }
 
 // Reason says why a request was refused; it is NotRefused if the request was not refused.
@@ -62,6 +64,7 @@
 	ExpectedWait time.Duration
 	Work         float64       // Estimated work in milliseconds at an average server; 0 if it is not estimated.
 	Expected     time.Duration // Expected time at the server, with the wait there; 0 if it is not estimated.
+	Booked       bool          // Whether the retry time of a refusal is booked.
 	// Cold reports whether the request rate of a cold server was applied to the server, and Sharers is the number of
 	// instances among which it was divided.
 	Cold    bool
@@ -69,3 +72,10 @@
 	// ViewAge is the time for which changes of backend servers and evacuations may have gone unnoticed.
 	ViewAge time.Duration
 }
+
+// Options switch on behaviour that is off by default.
+type Options struct {
+	// CostAware makes decisions follow estimates of the work of requests, the speed of servers and the loads of all
+	// instances, each with its age.
+	CostAware bool
+}
--- a/scheduler/pools_test.go
+++ b/scheduler/pools_test.go
@@ -42,7 +42,7 @@
 					t.Errorf("mean wait is %.0f ms and %.3f of the requests are lost at a third of the capacity, want at most 30 ms and 0.01", after.meanWait(), share(after.lost, after))
 				case instances >= 24 && load >= 0.5 && load <= 1 && after.notInTime() > before.notInTime()/2+slowShareOfWork:
 					t.Errorf("%.3f of the requests are not answered in time, want at most half of the %.3f of the other rule and %.2f", after.notInTime(), before.notInTime(), slowShareOfWork)
-				case load <= 1 && after.notInTime() > before.notInTime()+0.03:
+				case after.notInTime() > before.notInTime()+0.03:
 					t.Errorf("%.3f of the requests are not answered in time, want at most 0.03 more than the %.3f of the other rule", after.notInTime(), before.notInTime())
 				}
 			})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 	estimates *estimates
 	// subsetSeed differs between instances, so that each prefers other servers of a pool.
 	subsetSeed uint64
+	sharers    int // Number of instances among which bounds are divided, by the last update; 0 if there was none.
 	startedAt  time.Time
 	zone       identifier.Zone
 	owners     Owners
@@ -85,8 +86,12 @@
 	retryJitter uint64 // State of the pseudo-random generator that spreads retry times.
 	sends       Send   // Requests assigned so far.
 	silent      []Send
-	silentAt    map[identifier.Service]time.Time // When a server of the service was silent last.
-	doubted     []*server                        // Servers to which a health call is wanted.
+	// The following take the place of queues and waiting if the instance is cost-aware.
+	lines     map[lineKey]*line
+	ownerless map[*PendingRequest]struct{}     // Requests whose keys have no owner.
+	keyed     map[identifier.Service]bool      // Services whose requests have keys.
+	silentAt  map[identifier.Service]time.Time // When a server of the service was silent last.
+	doubted   []*server                        // Servers to which a health call is wanted.
 }
 
 // Shares tells this instance's share of the bounds that hold for all instances together.
@@ -95,18 +100,12 @@
 	Share(now time.Time, id identifier.BackendServer) apportioner.Share
 }
 
-// Options switch on behaviour that is off by default.
-type Options struct {
-	// CostAware makes decisions follow estimates of the work of requests, the speed of servers and the loads of all
-	// instances, each with its age.
-	CostAware bool
-}
-
 // New returns a Scheduler for an instance in the given zone whose process starts now. It looks up the owners of keys in
 // owners, and its share of the request rates of cold servers in shares.
 func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares, options Options) *Scheduler {
 	return &Scheduler{
 		options: options, estimates: newEstimates(), subsetSeed: uint64(now.UnixNano()), subsets: map[identifier.Service][]*server{},
+		lines: map[lineKey]*line{}, ownerless: map[*PendingRequest]struct{}{}, keyed: map[identifier.Service]bool{},
 		startedAt: now, retryJitter: uint64(now.UnixNano()), zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
 		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
@@ -137,6 +136,10 @@
 
 // Enqueue adds a request to the queue of its service and delivers all decisions of that queue that can be made now.
 func (s *Scheduler) Enqueue(now time.Time, r *PendingRequest) {
+	if s.options.CostAware {
+		s.enqueue(now, r)
+		return
+	}
 	s.queues[r.Service] = append(s.queues[r.Service], r)
 	s.decideQueue(now, r.Service)
 }
@@ -144,6 +147,10 @@
 // Cancel removes a request from its queue without a decision. It does nothing if the request is not queued any more:
 // its decision is in Decided then.
 func (s *Scheduler) Cancel(r *PendingRequest) {
+	if s.options.CostAware {
+		s.cancel(r)
+		return
+	}
 	queue := s.queues[r.Service]
 	for n := range queue {
 		if queue[n] == r {
@@ -156,6 +163,10 @@
 // Tick delivers the decisions that become possible by the passing of time: refusals, and requests for servers whose
 // pause has ended.
 func (s *Scheduler) Tick(now time.Time) {
+	if s.options.CostAware {
+		s.sweep(now)
+		return
+	}
 	for service := range s.queues {
 		s.decideQueue(now, service)
 	}
@@ -163,7 +174,7 @@
 
 // WaitingCount returns the number of requests in all queues of this instance.
 func (s *Scheduler) WaitingCount() int {
-	n := 0
+	n := s.lineCount()
 	for _, q := range s.queues {
 		n += len(q)
 	}
@@ -313,11 +324,6 @@
 // those that have capacity. ahead is the number of requests that stay in the queue before this one; a request that
 // stays is added to it, and false is returned.
 func (s *Scheduler) decidePooled(now time.Time, r *PendingRequest, ahead *int) (Decision, bool) {
-	if s.options.CostAware {
-		if c := s.chooseServer(now, r); c.server != nil {
-			return s.assignChoice(now, r, c), true
-		}
-	}
 	var best, doubtful *server
 	lowest, lowestDoubtful := math.Inf(1), math.Inf(1)
 	capacity, usable := 0.0, 0
@@ -329,7 +335,7 @@
 		usable++
 		pause = min(pause, max(sv.pausedUntil.Sub(now), 0))
 		capacity += max(sv.requestLimit(now)-sv.otherLoad(now), 0.5)
-		if s.options.CostAware || !s.hasCapacity(now, sv) {
+		if !s.hasCapacity(now, sv) {
 			if c := s.cost(now, sv); c < lowestDoubtful && s.needsHealthCall(now, sv) {
 				doubtful, lowestDoubtful = sv, c
 			}
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -75,6 +75,11 @@
 		sort.Slice(pool, func(a, b int) bool { return pool[a].entry.ID < pool[b].entry.ID })
 	}
 	s.servers = known
+	if s.options.CostAware {
+		for service := range s.pools {
+			s.updateSubset(service)
+		}
+	}
 }
 
 // usualLatency returns the usual latency of a service in milliseconds.
@@ -124,7 +129,15 @@
 
 // hasCapacity reports whether this instance may send one more request to a server that is below its request limit.
 func (s *Scheduler) hasCapacity(now time.Time, sv *server) bool {
-	return s.maySend(now, sv) && float64(sv.running)+sv.otherLoad(now) < sv.requestLimit(now)
+	return s.maySend(now, sv) && float64(sv.running)+s.peerLoadAt(now, sv) < sv.requestLimit(now)
+}
+
+// peerLoadAt returns the estimated number of other instances' requests at a server.
+func (s *Scheduler) peerLoadAt(now time.Time, sv *server) float64 {
+	if s.options.CostAware {
+		return s.expectedPeerLoad(now, sv).total()
+	}
+	return sv.otherLoad(now)
 }
 
 // maySend reports whether this instance may send to a server now, whatever its load: the server is not paused, and not
@@ -150,10 +163,15 @@
 // pacingInterval returns.
 func (s *Scheduler) mayAdmit(now time.Time, sv *server) bool {
 	interval, paced := sv.pacingInterval(now)
+	return s.mayAdmitPaced(now, sv, interval, paced)
+}
+
+// mayAdmitPaced is mayAdmit with the given interval.
+func (s *Scheduler) mayAdmitPaced(now time.Time, sv *server, interval time.Duration, paced bool) bool {
 	if !paced {
 		return s.hasCapacity(now, sv)
 	}
-	return s.maySend(now, sv) && sv.running == 0 && now.Sub(sv.lastSentAt) >= interval && sv.otherLoad(now) < pacedOverloadFactor*sv.requestLimit(now)
+	return s.maySend(now, sv) && sv.running == 0 && now.Sub(sv.lastSentAt) >= interval && s.peerLoadAt(now, sv) < pacedOverloadFactor*sv.requestLimit(now)
 }
 
 // pacedOverloadFactor is the factor by which the estimated load of a server may exceed its limit for a paced request to
@@ -187,8 +205,9 @@
 func (s *Scheduler) RecordPeerLoad(now time.Time, running, waiting map[identifier.BackendServer]int) {
 	if s.options.CostAware {
 		s.recordPeerCounts(now, running)
-		for service := range s.pools { // The number of instances may have changed.
-			s.updateSubset(now, service)
+		for service, pool := range s.pools { // The number of instances may have changed.
+			s.sharers = s.shares.Share(now, pool[0].entry.ID).Sharers
+			s.updateSubset(service)
 		}
 	}
 	for id, sv := range s.servers {
