--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/turmericlift/turmericlift/identifier"
@@ -267,6 +268,8 @@
 			r.Decided <- s.refuse(NoOwner, wait, Inputs{Owner: own, ExpectedWait: wait})
 		}
 	}
+	s.scanLimit = math.MaxInt
+	defer func() { s.scanLimit = eventScan }()
 	for key, l := range s.lines {
 		if l.count == 0 {
 			if l.bookings.Due(now, now.Add(maxPause)) == 0 {
@@ -322,6 +325,8 @@
 
 // serveServer serves the lines of a server from which something was learned.
 func (s *Scheduler) serveServer(now time.Time, sv *server) {
+	s.freed = sv
+	defer func() { s.freed = nil }()
 	for _, key := range []lineKey{{sv.entry.Service, sv.entry.ID}, {service: sv.entry.Service}} {
 		if l := s.lines[key]; l != nil && l.count > 0 {
 			s.serve(now, l)
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -12,11 +12,15 @@
 	waiting    float64 // Of the other instances, in their queues.
 	pause      time.Duration
 	usable     bool
+	at         time.Time
 }
 
 // capacityOf returns what the servers of a line can run now.
 func (s *Scheduler) capacityOf(now time.Time, key lineKey) capacity {
-	c := capacity{pause: maxPause}
+	if c, ok := s.poolCapacity[key.service]; ok && key.server == "" && now.Sub(c.at) < capacityLifetime {
+		return c
+	}
+	c := capacity{pause: maxPause, at: now}
 	if key.server != "" {
 		c.server = s.servers[key.server]
 		if c.server != nil {
@@ -28,10 +32,14 @@
 				s.addCapacity(now, &c, sv)
 			}
 		}
+		s.poolCapacity[key.service] = c
 	}
 	return c
 }
 
+// capacityLifetime is how long the capacity of a pool is used again: its sum takes some 0.1 ms for some hundred servers.
+const capacityLifetime = 10 * time.Millisecond
+
 // maxPause bounds the time for which the servers of a line are taken to want no requests.
 const maxPause = time.Hour
 
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -16,6 +16,9 @@
 	// the same old counts do not all choose the same one.
 	subsetChoices = 4
 	otherChoices  = 2
+	// eventScan bounds the servers that are considered at each event if all preferred ones are busy. All are considered at
+	// each tick, and the one at which a request has ended at once.
+	eventScan = 16
 	// drawsPerChoice bounds the draws for one candidate, of which some may not be usable.
 	drawsPerChoice = 2
 	// minSubset is the least number of servers that an instance prefers, and subsetShare the number of instances that prefer
@@ -63,6 +66,9 @@
 func (s *Scheduler) chooseServer(now time.Time, r *PendingRequest) poolChoice {
 	best := poolChoice{cost: math.Inf(1)}
 	pool := s.pools[r.Service]
+	if s.freed != nil {
+		s.consider(now, r, s.freed, &best)
+	}
 	s.draw(now, r, s.subsets[r.Service], subsetChoices, &best)
 	if best.server != nil && best.seen.wait > outsideWait*s.estimates.work.Estimate(r.Class).Mean() {
 		s.draw(now, r, pool, otherChoices, &best)
@@ -72,7 +78,7 @@
 	}
 	// Each event may come here while all servers are busy, so the first few that may get the request are enough.
 	offset, found := s.random(len(pool)), 0
-	for n := range pool {
+	for n := range min(len(pool), s.scanLimit) {
 		if s.consider(now, r, pool[(offset+n)%len(pool)], &best) {
 			found++
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,11 +87,14 @@
 	sends       Send   // Requests assigned so far.
 	silent      []Send
 	// The following take the place of queues and waiting if the instance is cost-aware.
-	lines     map[lineKey]*line
-	ownerless map[*PendingRequest]struct{}     // Requests whose keys have no owner.
-	keyed     map[identifier.Service]bool      // Services whose requests have keys.
-	silentAt  map[identifier.Service]time.Time // When a server of the service was silent last.
-	doubted   []*server                        // Servers to which a health call is wanted.
+	lines        map[lineKey]*line
+	ownerless    map[*PendingRequest]struct{} // Requests whose keys have no owner.
+	keyed        map[identifier.Service]bool  // Services whose requests have keys.
+	poolCapacity map[identifier.Service]capacity
+	freed        *server                          // The server at which a request has just ended; nil at other events.
+	scanLimit    int                              // The number of servers that may be considered for a request one after the other.
+	silentAt     map[identifier.Service]time.Time // When a server of the service was silent last.
+	doubted      []*server                        // Servers to which a health call is wanted.
 }
 
 // Shares tells this instance's share of the bounds that hold for all instances together.
@@ -105,7 +108,7 @@
 func New(now time.Time, zone identifier.Zone, owners Owners, shares Shares, options Options) *Scheduler {
 	return &Scheduler{
 		options: options, estimates: newEstimates(), subsetSeed: uint64(now.UnixNano()), subsets: map[identifier.Service][]*server{},
-		lines: map[lineKey]*line{}, ownerless: map[*PendingRequest]struct{}{}, keyed: map[identifier.Service]bool{},
+		lines: map[lineKey]*line{}, ownerless: map[*PendingRequest]struct{}{}, keyed: map[identifier.Service]bool{}, poolCapacity: map[identifier.Service]capacity{}, scanLimit: eventScan,
 		startedAt: now, retryJitter: uint64(now.UnixNano()), zone: zone, owners: owners, shares: shares, servers: map[identifier.BackendServer]*server{},
 		pools:  map[identifier.Service][]*server{},
 		queues: map[identifier.Service][]*PendingRequest{}, latency: map[identifier.Service]float64{}, waiting: map[identifier.Service]map[identifier.BackendServer]int{}, silentAt: map[identifier.Service]time.Time{},
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -75,6 +75,7 @@
 		sort.Slice(pool, func(a, b int) bool { return pool[a].entry.ID < pool[b].entry.ID })
 	}
 	s.servers = known
+	clear(s.poolCapacity)
 	if s.options.CostAware {
 		for service := range s.pools {
 			s.updateSubset(service)
