scheduler, allocator, conductor: plans weigh keys by work and servers by speed, if CostAware

Plans counted requests by key and used a moving average of latencies as the speed of a server, which mixes up its speed with its queue and with the slowness of its machine at the time.

If CostAware, a request counts for its key by its estimated work, from 1/4 to 4 times the mean, and the capacity of a server follows the speed that the estimator has learned.

The effect on plans has not been measured.

--- a/allocator/heat.go
+++ b/allocator/heat.go
@@ -25,9 +25,12 @@
 }
 
 // Add counts one request for a key.
-func (c *Counter) Add(key identifier.ShardKey) {
-	c.counts[key]++
-	c.total++
+func (c *Counter) Add(key identifier.ShardKey) { c.AddWork(key, 1) }
+
+// AddWork counts a request for a key by its work, as a multiple of the mean work of the service's requests.
+func (c *Counter) AddWork(key identifier.ShardKey, work float64) {
+	c.counts[key] += float32(work)
+	c.total += work
 }
 
 // Sketch is the distribution of requests over the keys, as adjacent ranges with their rates.
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -65,7 +65,11 @@
 			counter = allocator.NewCounter(now)
 			c.keyCounters[r.Service] = counter
 		}
-		counter.Add(r.Key)
+		if c.settings.CostAware {
+			counter.AddWork(r.Key, c.scheduler.RelativeWork(r.Class))
+		} else {
+			counter.Add(r.Key)
+		}
 	}
 	c.scheduler.Enqueue(now, r)
 	c.mu.Unlock()
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -221,3 +221,12 @@
 	}
 	s.estimates.work.Record(o)
 }
+
+// maxRelativeWork bounds RelativeWork and its inverse.
+const maxRelativeWork = 4
+
+// RelativeWork returns the estimated work of requests of a class, as a multiple of the mean of their service.
+func (s *Scheduler) RelativeWork(c estimator.Class) float64 {
+	relative := s.estimates.work.Estimate(c).Mean() / s.estimates.work.Service(c.Service).Mean()
+	return min(max(relative, 1.0/maxRelativeWork), maxRelativeWork)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -134,6 +134,9 @@
 	if !ok {
 		return 0, false
 	}
+	if s.options.CostAware {
+		return s.estimates.work.Service(sv.entry.Service).Mean() * s.estimates.work.Slowdown(sv.entry.Service, id), true
+	}
 	return sv.serviceTime, true
 }
 
