scheduler: test of a pool with fewer slots than instances

The trial ended by a nil instance where a request was sent again and refused at once; that is mended.

--- a/scheduler/fleet_server_test.go
+++ b/scheduler/fleet_server_test.go
@@ -12,14 +12,15 @@
 	t.advance(sv)
 	if len(sv.running)+len(sv.waiting) >= t.slots+t.queue {
 		t.after(t.hop(r, sv), func() {
-			r.at.s.RecordOutcome(t.now, sv.id, 1, scheduler.Report{Outcome: scheduler.Broken, Send: r.send, Latency: t.now.Sub(r.sentAt)})
+			i := r.at
+			i.s.RecordOutcome(t.now, sv.id, 1, scheduler.Report{Outcome: scheduler.Broken, Send: r.send, Latency: t.now.Sub(r.sentAt)})
 			if r.kind.runsOnce || len(r.tried) > 0 || t.now.After(r.deadline) {
 				t.fail(r, &t.results[r.kind.name].lost)
 			} else {
 				r.tried[sv.id] = true
 				t.enter(r, r.first)
 			}
-			t.takeDecisions(r.at)
+			t.takeDecisions(i)
 		})
 		return
 	}
--- a/scheduler/pools_test.go
+++ b/scheduler/pools_test.go
@@ -51,3 +51,38 @@
 }
 
 func share(n int, r trialResult) float64 { return float64(n) / float64(max(r.requests, 1)) }
+
+// searchKinds are requests of a pool that has fewer slots than there are instances.
+var searchKinds = []requestKind{{name: "search", share: 1, work: 54, target: 300 * time.Millisecond, deadline: 2 * time.Second, credit: 2, late: 1}}
+
+// TestFewSlots guards against requests that wait or are lost where an instance's share of a pool's slots is less than one
+// request: 21 slots for 72 instances.
+func TestFewSlots(t *testing.T) {
+	for _, load := range []float64{0.35, 0.6, 0.8, 0.95} {
+		t.Run(fmt.Sprintf("Load%.2f", load), func(t *testing.T) {
+			t.Parallel()
+			var sums [2]trialResult
+			for n := range sums {
+				sum := map[string]*trialResult{}
+				for seed := range 3 {
+					trial := poolTrial(72, load, scheduler.Options{CostAware: n == 1})
+					trial.servers, trial.kinds, trial.seed = 7, searchKinds, int64(seed)
+					merge(sum, trial.run())
+				}
+				sums[n] = total(sum)
+			}
+			before, after := sums[0], sums[1]
+			t.Logf("few slots, load %.2f: mean wait %4.0f -> %4.0f ms, 0.99 quantile %4.0f -> %4.0f ms, not in time %.3f -> %.3f, lost %.3f -> %.3f, refused %.3f -> %.3f, other zones %.2f -> %.2f",
+				load, before.meanWait(), after.meanWait(), before.waitQuantile(0.99), after.waitQuantile(0.99), before.notInTime(), after.notInTime(),
+				share(before.lost, before), share(after.lost, after), share(before.refused+before.refusedTwice, before), share(after.refused+after.refusedTwice, after),
+				share(before.crossings, before), share(after.crossings, after))
+			if load <= 0.5 && (after.meanWait() > 30 || share(after.lost, after) > 0.01) {
+				t.Errorf("mean wait is %.0f ms and %.3f of the requests are lost at a load of %.2f, want at most 30 ms and 0.01", after.meanWait(), share(after.lost, after), load)
+			}
+			if after.notInTime() > before.notInTime()+0.05 || share(after.lost, after) > share(before.lost, before) {
+				t.Errorf("%.3f of the requests are not answered in time and %.3f are lost, want at most 0.05 more than the %.3f and no more than the %.3f of the other rule",
+					after.notInTime(), share(after.lost, after), before.notInTime(), share(before.lost, before))
+			}
+		})
+	}
+}
