conductor, forwarder: metrics of refusals, late answers and estimates

Nothing showed how often callers are refused a second time, how many answers come after the target time, and how far the expected times are from the actual ones.

New metrics: Refusals, RefusedRetries and BookedReturns by service, LateAnswers by route, and TimeOverEstimate, the time that a request took at its server as a multiple of the expected time.

--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -75,9 +75,7 @@
 	c.mu.Unlock()
 	select {
 	case d := <-r.Decided:
-		if d.Inputs.Cold && d.Reason == scheduler.NotRefused {
-			c.scope.Counter("ColdSends").Inc(1)
-		}
+		c.countDecision(r, d)
 		return d, true
 	case <-ctx.Done():
 	}
@@ -176,6 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scheduler.RecordOutcome(now, e.ID, e.Incarnation, r)
+	c.countEstimate(r)
 	if r.Notice.RetryAfter > 0 {
 		c.scope.Counter("RetryAfterPauses").Inc(1)
 	}
@@ -295,6 +294,9 @@
 	tagged := c.scope.Tagged(map[string]string{"Route": o.Route, "Code": strconv.Itoa(int(o.Code))})
 	tagged.Counter("Requests").Inc(1)
 	tagged.Histogram("Latency", latencyBuckets).RecordDuration(o.Latency)
+	if o.Late {
+		c.scope.Tagged(map[string]string{"Route": o.Route}).Counter("LateAnswers").Inc(1)
+	}
 }
 
 // operatorHandler serves the metrics and the state dump.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,13 +76,14 @@
 var ErrSilent = errors.New("the backend server answers other requests and does not count this one")
 
 // Observation describes an answered request for the metrics. Sends is the number of attempts that a backend
-// server answered or whose connection broke.
+// server answered or whose connection broke. Late says that the answer came after the route's target time.
 type Observation struct {
 	Route   string
 	Code    answerer.Code
 	Status  int
 	Latency time.Duration
 	Sends   int
+	Late    bool
 }
 
 // NoticeDecoder decodes what a backend server says of itself in an answer with a status. The error tells what was malformed;
@@ -221,7 +222,7 @@
 	e := d.Server
 	req.server = e.ID
 	answer, err := f.core.Exchange(ctx, e, d.Send, f.request(req, e, started))
-	report := scheduler.Report{Latency: f.clock().Sub(started), Send: d.Send}
+	report := scheduler.Report{Latency: f.clock().Sub(started), Expected: d.Inputs.Expected, Send: d.Send}
 	var unsent *exchanger.UnsentError
 	switch {
 	case err == nil:
@@ -402,40 +403,3 @@
 		IDHeader: f.names.RequestID, ID: req.id,
 	}
 }
-
-// record counts and logs an answered request.
-func (f *Forwarder) record(req *activeRequest, res *result) {
-	latency := f.clock().Sub(req.arrived)
-	route := ""
-	if req.route != nil {
-		route = req.route.Name
-	}
-	f.core.Observe(Observation{Route: route, Code: res.code, Status: res.status, Latency: latency, Sends: req.sends})
-	fields := logrus.Fields{
-		"ID": req.id, "Route": route, "Service": req.service, "ConfigVersion": req.version, "Server": req.server,
-		"Sends": req.sends, "Status": res.status, "Code": int(res.code), "Ms": latency.Milliseconds(),
-		"LeftMs": req.deadline.Sub(req.arrived).Milliseconds(), "Returned": req.isRetry,
-	}
-	if req.tenant != nil {
-		fields["Tenant"] = req.tenant.Name
-		if res.code == answerer.CodeOverQuota || res.code == answerer.CodeQuotaUnknown {
-			fields["RatePerS"], fields["Burst"] = req.tenant.Rate, req.tenant.Burst
-		}
-	}
-	if req.keyed {
-		own := req.inputs.Owner
-		fields["Key"], fields["Owner"], fields["Epoch"], fields["Allocation"], fields["Moving"] = req.key, own.Server, own.Epoch, own.Version, own.Moving
-	}
-	fields["Cold"], fields["Sharers"], fields["ViewAgeMs"] = req.inputs.Cold, req.inputs.Sharers, req.inputs.ViewAge.Milliseconds()
-	if req.inputs.Work > 0 {
-		fields["WorkMs"], fields["ExpectedMs"], fields["LoadAgeMs"] = int(req.inputs.Work+half), req.inputs.Expected.Milliseconds(), req.inputs.LoadAge.Milliseconds()
-	}
-	if res.code != answerer.CodeOK {
-		fields["Running"], fields["Others"], fields["LoadAgeMs"] = req.inputs.Running, int(req.inputs.OtherLoad+half), req.inputs.LoadAge.Milliseconds()
-		fields["Ahead"], fields["WaitMs"], fields["RetryAfterMs"] = req.inputs.Ahead, req.inputs.ExpectedWait.Milliseconds(), res.retryAfter.Milliseconds()
-	}
-	f.log.WithFields(fields).Info("answered")
-}
-
-// half is added to an estimate before its fraction is cut off, which rounds it to the nearest whole number.
-const half = 0.5
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -25,10 +25,11 @@
 	Outcome  Outcome
 	Send     Send // From the decision.
 	Latency  time.Duration
-	HasLoad  bool    // Whether the answer has a load report: Running, Waiting and Slowness.
-	Running  int     // Requests of all instances that run at the server.
-	Waiting  int     // Requests of all instances that wait at the server.
-	Slowness float64 // Factor by which the server's machine is slower than usual; 0 if it was not reported.
+	Expected time.Duration // From the decision's Inputs.
+	HasLoad  bool          // Whether the answer has a load report: Running, Waiting and Slowness.
+	Running  int           // Requests of all instances that run at the server.
+	Waiting  int           // Requests of all instances that wait at the server.
+	Slowness float64       // Factor by which the server's machine is slower than usual; 0 if it was not reported.
 	Notice   registrar.Notice
 }
 
