scheduler: retries go first at most every other time

Retries of a group went first whenever there were any, so callers who retry at once and often would have crowded out first tries of their priority. Now a first try goes between two retries while one waits, which is also the share of the capacity for which returns are booked.

TestManyRetries (three retries for each first try, twice the load): about as many first tries as retries are sent.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -100,7 +100,7 @@
 func (s *Scheduler) serveOne(now time.Time, l *line) bool {
 	var failed [2]bool
 	for _, g := range l.order() {
-		r := g.requests[0]
+		r := g.first()
 		kind := 0
 		if r.RunsOnce {
 			kind = 1
@@ -115,7 +115,7 @@
 		case decided:
 			l.remove(r)
 			if d.Reason == NotRefused {
-				l.recordSent(g)
+				l.recordSent(g, r)
 			}
 			r.Decided <- d
 			return true
@@ -292,9 +292,11 @@
 		if c.throughput > 0 {
 			wait = max(wait, time.Duration(ahead/c.throughput*float64(time.Millisecond)))
 		}
-		for _, r := range g.requests {
-			if now.Add(wait + s.neededTime(now, r, c)).After(r.Deadline) {
-				hopeless = append(hopeless, r)
+		for _, requests := range []requestHeap{g.retries, g.firsts} {
+			for _, r := range requests {
+				if now.Add(wait + s.neededTime(now, r, c)).After(r.Deadline) {
+					hopeless = append(hopeless, r)
+				}
 			}
 		}
 		ahead += g.work
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -163,3 +163,38 @@
 		t.Errorf("cancelled request has %d decisions and %d requests wait, want none", len(r.Decided), s.WaitingCount())
 	}
 }
+
+// TestManyRetries guards against callers who retry at once and often and so crowd out first tries of the same priority.
+func TestManyRetries(t *testing.T) {
+	s, now := costAware(), start
+	sends := fill(t, s, now)
+	sent := [2]int{}
+	var waiting []*scheduler.PendingRequest
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		for n := range 4 {
+			r := waitingRequest(now, 0, 15*time.Second, 20*time.Second)
+			r.IsRetry = n > 0
+			waiting = append(waiting, r)
+			s.Enqueue(now, r)
+		}
+		finish(s, now, &sends)
+		for _, r := range waiting {
+			select {
+			case d := <-r.Decided:
+				if d.Reason == scheduler.NotRefused {
+					sends = append(sends, d.Send)
+					if r.IsRetry {
+						sent[1]++
+					} else {
+						sent[0]++
+					}
+				}
+			default:
+			}
+		}
+	}
+	if sent[0] < 15 || sent[1] < 15 {
+		t.Errorf("%d first tries and %d retries are sent, want about as many of both", sent[0], sent[1])
+	}
+}
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -26,10 +26,12 @@
 // group is the requests of a line that have the same rank.
 type group struct {
 	rank      int
-	requests  requestHeap
-	work      float64 // Sum of the estimated work, in milliseconds.
-	retryWork float64 // That of the retries.
-	skipped   int     // Requests of other groups that were sent since the last one of this group, while some waited here.
+	retries   requestHeap
+	firsts    requestHeap // The requests that are not retries.
+	sentRetry bool        // The last request that was sent is a retry.
+	work      float64     // Sum of the estimated work, in milliseconds.
+	retryWork float64     // That of the retries.
+	skipped   int         // Requests of other groups that were sent since the last one of this group, while some waited here.
 }
 
 // queuedRequest is what a line keeps with a request that waits in it.
@@ -70,7 +72,7 @@
 	}
 	g := l.groups[n]
 	r.queued = queuedRequest{line: l, group: g, work: work}
-	heap.Push(&g.requests, r)
+	heap.Push(g.heapOf(r), r)
 	l.count++
 	g.work += work
 	if r.IsRetry {
@@ -81,13 +83,13 @@
 // remove removes a request from the line. Groups are kept: there are two for each priority.
 func (l *line) remove(r *PendingRequest) {
 	g := r.queued.group
-	heap.Remove(&g.requests, r.queued.index)
+	heap.Remove(g.heapOf(r), r.queued.index)
 	l.count--
 	g.work -= r.queued.work
 	if r.IsRetry {
 		g.retryWork -= r.queued.work
 	}
-	if len(g.requests) == 0 {
+	if g.count() == 0 {
 		g.work, g.retryWork, g.skipped = 0, 0, 0
 	}
 	r.queued = queuedRequest{}
@@ -97,7 +99,7 @@
 func (l *line) order() []*group {
 	order := make([]*group, 0, len(l.groups))
 	for _, g := range l.groups {
-		if len(g.requests) > 0 {
+		if g.count() > 0 {
 			order = append(order, g)
 		}
 	}
@@ -106,13 +108,13 @@
 }
 
 // recordSent counts that a request of a group was sent.
-func (l *line) recordSent(sent *group) {
+func (l *line) recordSent(sent *group, r *PendingRequest) {
 	for _, g := range l.groups {
-		if len(g.requests) > 0 {
+		if g.count() > 0 {
 			g.skipped++
 		}
 	}
-	sent.skipped = 0
+	sent.skipped, sent.sentRetry = 0, r.IsRetry
 }
 
 // workAhead returns the estimated work of the requests that go before a request of a rank, in milliseconds, and their share
@@ -123,12 +125,12 @@
 		switch {
 		case g.rank < rank:
 			work += g.work
-			count += len(g.requests)
-		case g.rank == rank && r.IsRetry:
-			work += g.retryWork
+			count += g.count()
+		case g.rank == rank && r.IsRetry: // As many others go between the retries.
+			work += min(2*g.retryWork, g.work)
 		case g.rank == rank:
 			work += g.work
-			count += len(g.requests)
+			count += g.count()
 		}
 	}
 	if l.count > 0 {
@@ -142,18 +144,33 @@
 	return work, share
 }
 
-// requestHeap orders the requests of a group: retries first, then by target time.
-type requestHeap []*PendingRequest
+// heapOf returns the heap of the group to which a request belongs.
+func (g *group) heapOf(r *PendingRequest) *requestHeap {
+	if r.IsRetry {
+		return &g.retries
+	}
+	return &g.firsts
+}
 
-func (h requestHeap) Len() int { return len(h) }
+// count returns the number of requests in the group.
+func (g *group) count() int { return len(g.retries) + len(g.firsts) }
 
-func (h requestHeap) Less(a, b int) bool {
-	if h[a].IsRetry != h[b].IsRetry {
-		return h[a].IsRetry
+// first returns the request of the group that goes first. Retries go first, but at most every other request is one while
+// others wait: callers who retry at once and often do not crowd out others.
+func (g *group) first() *PendingRequest {
+	if len(g.firsts) == 0 || len(g.retries) > 0 && !g.sentRetry {
+		return g.retries[0]
 	}
-	return h[a].TargetTime.Before(h[b].TargetTime)
+	return g.firsts[0]
 }
 
+// requestHeap orders requests by their target time.
+type requestHeap []*PendingRequest
+
+func (h requestHeap) Len() int { return len(h) }
+
+func (h requestHeap) Less(a, b int) bool { return h[a].TargetTime.Before(h[b].TargetTime) }
+
 func (h requestHeap) Swap(a, b int) {
 	h[a], h[b] = h[b], h[a]
 	h[a].queued.index, h[b].queued.index = a, b
