conductor, scheduler: what turns decisions by cost on

Decisions by cost (scheduler.Options.CostAware) take effect where the settings list the contract under which callers press, or from the time on at which a service has fewer slots than there are instances. Requests that wait at that moment keep waiting.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -164,7 +164,7 @@
 		DrainTime: s.Bounds.DrainTime, EvacuationTime: s.Bounds.EvacuationTime,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetryExtra: s.Bounds.RetryExtra,
 		ColdOvershoot: s.Bounds.ColdOvershoot, ColdSlack: s.Bounds.ColdSlack,
-		PipelinedRequests: s.PipelinedRequests,
+		PipelinedRequests: s.PipelinedRequests, CostAware: s.PipelinedRequests,
 		QuotaWindow:       s.Bounds.QuotaWindow, QuotaOvershoot: s.Bounds.QuotaOvershoot, QuotaSlack: s.Bounds.QuotaSlack, Bootstrap: s.Bootstrap,
 	}
 	for _, seed := range s.Seeds {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -197,6 +197,7 @@
 	apportioner       *apportioner.Apportioner
 	quotas            quotas
 	bodies            *rationer.Rationer                // For the bodies of callers' requests.
+	costAware         bool                              // The scheduler decides by costs.
 	sharers           int                               // The number of instances among which bounds are divided, as last logged.
 	viewWasStale      bool                              // As last logged.
 	missingSince      map[identifier.Instance]time.Time // Instances on record that are not heard.
@@ -250,7 +251,7 @@
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.Capacity, CellSize: custodian.CellSize,
 		Leases: leaser.Settings{LeaseDuration: min(grantLeaseDuration, s.MaxLeaseDuration), RenewInterval: grantRenewInterval, ConfirmationTimeout: confirmationTimeout},
 	}, c.logOwnershipEvent)
-	c.scheduler = scheduler.New(now, s.Zone, c, c, scheduler.Options{CostAware: s.CostAware})
+	c.scheduler = scheduler.New(now, s.Zone, c, c, scheduler.Options{})
 	for _, seed := range s.Seeds {
 		c.ownership.Gossip.AddHint(seed)
 	}
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -316,6 +316,7 @@
 	}
 	c.closeUnusedOrders()
 	c.scheduler.SetServers(candidates)
+	c.updateCostAware(now)
 	for name := range c.view.table.Services {
 		if _, ok := c.retryBudgets[name]; !ok {
 			c.retryBudgets[name] = limiter.NewRetryBudget(c.startedAt, c.settings.RetryWindow, c.settings.RetryRatio, c.settings.RetryExtra)
