--- a/conductor/front.go
+++ b/conductor/front.go
@@ -29,7 +29,7 @@
 	}
 	return pipeliner.New(pipeliner.Settings{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, MaxHeldBytes: c.settings.AnswerMemory, RequestContext: forwarder.WithArrival,
-	}, callers, newPipelineMetrics(c.scope), c.clock, c.log.WithField("Subsystem", "connections"))
+	}, callers, callers.IsIdempotent, newPipelineMetrics(c.scope), c.clock, c.log.WithField("Subsystem", "connections"))
 }
 
 // listenAndServe serves the connections to an address until the server is shut down or closed, or the listener fails.
@@ -42,7 +42,7 @@
 }
 
 // depthBuckets are the bounds of the histogram of the requests under way on a connection.
-var depthBuckets = tally.ValueBuckets{1, 2, 3, 4, 6, 8, 12, 16}
+var depthBuckets = tally.ValueBuckets{2, 3, 4, 6, 8, 12, 16}
 
 // pipelineMetrics counts the events of callers' connections. It implements pipeliner.Observer.
 type pipelineMetrics struct {
@@ -59,10 +59,10 @@
 
 // RequestStarted implements pipeliner.Observer.
 func (m *pipelineMetrics) RequestStarted(depth int) {
-	if depth > 1 {
+	if depth > 1 { // Callers who do not pipeline cost nothing.
 		m.pipelined.Inc(1)
+		m.depth.RecordValue(float64(depth))
 	}
-	m.depth.RecordValue(float64(depth))
 }
 
 // RequestsNotRead implements pipeliner.Observer.
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -44,7 +44,7 @@
 	x.req = r.WithContext(ctx)
 	x.req.RemoteAddr = c.remote
 	// Answers to HTTP/1.0 may end with the connection, so that nothing may run behind them.
-	x.isBarrier = !r.ProtoAtLeast(1, 1) || r.Method == http.MethodConnect || !c.server.handler.IsIdempotent(r.Host, r.URL.Path)
+	x.isBarrier = !r.ProtoAtLeast(1, 1) || r.Method == http.MethodConnect || !c.server.idempotent(r.Host, r.URL.Path)
 	if r.ContentLength != 0 {
 		x.body = &requestBody{x: x, inner: r.Body, sendHint: r.ProtoAtLeast(1, 1) && r.Header.Get("Expect") != ""}
 		x.req.Body = x.body
--- a/pipeliner/pipelined_test.go
+++ b/pipeliner/pipelined_test.go
@@ -104,6 +104,36 @@
 	}
 }
 
+// wrapper wraps the connections of a listener, as packages that bound connections do.
+type wrapper struct{ net.Listener }
+
+type wrapped struct{ net.Conn }
+
+func (w wrapper) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return wrapped{c}, nil
+}
+
+// NetConn returns the connection that is wrapped.
+func (w wrapped) NetConn() net.Conn { return w.Conn }
+
+// TestWrappedConnections guards against a caller that leaves unnoticed because its connection is wrapped.
+func TestWrappedConnections(t *testing.T) {
+	t.Parallel()
+	g := newGates(nil)
+	s := startWith(t, settings, g, func(l net.Listener) net.Listener { return wrapper{l} })
+	c := dial(t, s.address)
+	c.send("/write/1", "/write/2")
+	expect(t, "start", g.started, "/write/1")
+	expectNone(t, "start behind a write", g.started)
+	_ = c.Close()
+	expect(t, "end", g.ended, "/write/1")
+	expectNone(t, "start after the caller left", g.started)
+}
+
 // TestHeadsBounded guards against the memory of many large heads.
 func TestHeadsBounded(t *testing.T) {
 	t.Parallel()
@@ -272,6 +302,50 @@
 	group.Wait()
 }
 
+// TestManyCallersLeave guards against connections and handlers that never end because their caller left at a bad moment. The end
+// of the test waits for all connections.
+func TestManyCallersLeave(t *testing.T) {
+	t.Parallel()
+	s := start(t, settings, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := len(r.URL.Path) + int(time.Now().UnixNano()%50)
+		select {
+		case <-time.After(time.Duration(n) * 50 * time.Microsecond):
+		case <-r.Context().Done():
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, strings.Repeat("x", n*3000))
+		if n%17 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	var group sync.WaitGroup
+	for n := range 300 {
+		group.Go(func() {
+			c := dial(t, s.address)
+			for i := range n % 23 {
+				path := strings.Repeat("x", (n*7+i*5)%40)
+				if (n+i)%9 == 0 {
+					_, _ = fmt.Fprintf(c, "POST /write/%s HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n0123456789", path)
+				} else {
+					_, _ = fmt.Fprintf(c, "GET /read/%s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+				}
+			}
+			_ = c.SetReadDeadline(time.Now().Add(time.Duration(n%50) * time.Millisecond))
+			_, _ = io.CopyN(io.Discard, c, int64(n%7*20000))
+			_ = c.SetReadDeadline(time.Now().Add(60 * time.Second))
+			switch n % 4 {
+			case 0:
+				_ = c.SetLinger(0)
+			case 1:
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			}
+			_ = c.Close()
+		})
+	}
+	group.Wait()
+}
+
 // TestShutdown guards against a stop that cuts requests under way, or that waits for idle connections.
 func TestShutdown(t *testing.T) {
 	t.Parallel()
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -52,14 +52,6 @@
 	logLinesPerSecond, logBurst = 5, 20
 )
 
-// Handler serves requests, concurrently also for one connection.
-type Handler interface {
-	http.Handler
-	// IsIdempotent reports whether requests for a host and path may run more than once. Only these run beside other
-	// requests of their connection.
-	IsIdempotent(host, path string) bool
-}
-
 // Settings configure a Server.
 type Settings struct {
 	// HeaderTimeout bounds the time from the first byte of a request to the end of its head.
@@ -88,16 +80,19 @@
 // Server serves callers' connections. Its methods are called concurrently.
 type Server struct {
 	settings Settings
-	handler  Handler
-	observer Observer
-	clock    func() time.Time
-	log      *logrus.Entry
-	logLimit *rate.Limiter
-	ctx      context.Context // Ends with Close.
-	cancel   context.CancelFunc
-	work     chan *exchange // For idle workers.
-	stopping atomic.Bool    // Set under the lock.
-	held     atomic.Int64   // Bytes of answers that wait for others.
+	handler  http.Handler
+	// idempotent reports whether requests for a host and path may run more than once. Only these run beside other requests
+	// of their connection.
+	idempotent func(host, path string) bool
+	observer   Observer
+	clock      func() time.Time
+	log        *logrus.Entry
+	logLimit   *rate.Limiter
+	ctx        context.Context // Ends with Close.
+	cancel     context.CancelFunc
+	work       chan *exchange // For idle workers.
+	stopping   atomic.Bool    // Set under the lock.
+	held       atomic.Int64   // Bytes of answers that wait for others.
 
 	mu          sync.Mutex
 	listeners   map[net.Listener]struct{}
@@ -106,11 +101,12 @@
 	quiet       chan struct{} // Closed when the Server is stopping and has no connections.
 }
 
-// New returns a Server that accepts no connections yet.
-func New(s Settings, handler Handler, observer Observer, clock func() time.Time, log *logrus.Entry) *Server {
+// New returns a Server that accepts no connections yet. The handler is called concurrently, also for one connection, by whose
+// requests only those run at once for whose host and path idempotent returns true: they may run more than once.
+func New(s Settings, handler http.Handler, idempotent func(host, path string) bool, observer Observer, clock func() time.Time, log *logrus.Entry) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
-		settings: s, handler: handler, observer: observer, clock: clock, log: log, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst),
+		settings: s, handler: handler, idempotent: idempotent, observer: observer, clock: clock, log: log, logLimit: rate.NewLimiter(logLinesPerSecond, logBurst),
 		ctx: ctx, cancel: cancel, work: make(chan *exchange), listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}, quiet: make(chan struct{}),
 	}
 }
--- a/pipeliner/watch.go
+++ b/pipeliner/watch.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -9,8 +10,16 @@
 // watch waits until the caller has closed or reset its connection, and returns true then, or until the read deadline has
 // passed. It reads nothing: data that arrive wake it, and wait in the kernel's buffers.
 //
-// A connection that hides its socket cannot be watched: then watch returns false at once and ok is false.
-func watch(rwc any) (left, ok bool) {
+// A connection that wraps another one has a method NetConn that returns it, as tls.Conn has. A connection that hides its socket
+// cannot be watched: then watch returns false at once and ok is false.
+func watch(rwc net.Conn) (left, ok bool) {
+	for {
+		wrapper, wraps := rwc.(interface{ NetConn() net.Conn })
+		if !wraps {
+			break
+		}
+		rwc = wrapper.NetConn()
+	}
 	s, ok := rwc.(syscall.Conn)
 	if !ok {
 		return false, false
