pipeliner: a handler may read the body of a request after WriteHeader

The head of an answer with a length was written with WriteHeader, and the rest of the body was discarded before it. net/http's server does that with the first bytes of the answer's body only. TestSameAsStandardServer has the case.

--- a/pipeliner/answer.go
+++ b/pipeliner/answer.go
@@ -114,7 +114,8 @@
 			x.contentLength = n
 		}
 	}
-	if !bodyAllowed(status) || x.contentLength == 0 || x.contentLength > 0 && x.header["Content-Type"] != nil {
+	needsBody := bodyAllowed(status) && x.contentLength != 0 && (x.contentLength < 0 || x.header["Content-Type"] == nil)
+	if bodyWasRead := x.body == nil || x.body.complete; bodyWasRead && !needsBody {
 		_ = x.writeHead(nil, false) // The handler meets the error with its next write.
 		return
 	}
--- a/pipeliner/equivalence_test.go
+++ b/pipeliner/equivalence_test.go
@@ -70,6 +70,11 @@
 		_, _ = io.WriteString(w, strings.Repeat("z", 5000))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case "readLate":
+		w.Header().Set("Content-Length", "3")
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.Copy(w, r.Body)
 	case "odd":
 		w.WriteHeader(799)
 	case "lateHeader":
@@ -177,6 +182,7 @@
 	"ChunkedTrailer":     {"POST /write/1 HTTP/1.1\r\nHost: h\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: 1\r\n\r\n", []string{"POST"}},
 	"ChunkedMalformed":   {"POST /write/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", []string{"POST"}},
 	"LargeBody":          {"POST /write/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("b", 20000), []string{"POST"}},
+	"ReadLate":           {"POST /write/readLate HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", []string{"POST"}},
 	"UnreadBody":         {"POST /write/unread HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", []string{"POST"}},
 	"UnreadChunked":      {"POST /write/unread HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", []string{"POST"}},
 	"UnreadLarge":        {"POST /write/unread HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("b", 400000), []string{"POST"}},
