pipeliner: many answers are also checked where none may be held

With the memory for waiting answers used up by other connections, handlers wait for their turn. 20 connections with 300 requests each get all answers, in order.

--- a/pipeliner/pipelined_test.go
+++ b/pipeliner/pipelined_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/turmericlift/turmericlift/pipeliner"
 )
 
 // TestAnswersInOrder guards against answers in the order in which they were ready, which callers would take for those to other
@@ -249,9 +251,17 @@
 }
 
 // TestManyAnswers guards against mixed, lost and doubled answers: many connections send requests whose answers differ in size
-// and time.
+// and time. The answers are held as far as the settings allow it, or not at all.
 func TestManyAnswers(t *testing.T) {
 	t.Parallel()
+	none := settings
+	none.MaxHeldBytes = 0
+	for name, s := range map[string]pipeliner.Settings{"Held": settings, "NotHeld": none} {
+		t.Run(name, func(t *testing.T) { testManyAnswers(t, s) })
+	}
+}
+
+func testManyAnswers(t *testing.T, settings pipeliner.Settings) {
 	s := start(t, settings, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, _ := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
 		body, _ := io.ReadAll(r.Body)
