--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -184,21 +184,12 @@
 	for kind, m := range c.mirrors {
 		copied, _ := m.Snapshot()
 		req.Revisions[kind] = copied.NewestVersion()
-		if kind != c.kinds.Shared {
-			continue
-		}
-		for _, o := range copied.Objects {
-			req.SharedVersions[o.Name] = o.Version
+		if kind == c.kinds.Shared {
+			c.addSharedVersions(req.SharedVersions, copied.Objects)
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name := range c.ownership.OutdatedAllocations() {
-		delete(req.SharedVersions, name) // Another instance may know one that the store has lost.
-	}
-	for service, version := range c.ownership.Versions() {
-		req.SharedVersions[custodian.AllocationPrefix+string(service)] = version
-	}
 	req.Complete = c.completeRevisions()
 	return req
 }
@@ -237,6 +228,23 @@
 	}
 }
 
+// addSharedVersions adds the versions of the shared objects, and of the allocations that are known in a newer version. An
+// allocation that the store has lost, so that it has an outdated one, counts in the version that is known here, if any: another
+// instance may have a newer one.
+func (c *Conductor) addSharedVersions(versions map[string]identifier.Version, objects []storer.Object) {
+	for _, o := range objects {
+		versions[o.Name] = o.Version
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.ownership.OutdatedAllocations() {
+		delete(versions, name)
+	}
+	for service, version := range c.ownership.Versions() {
+		versions[custodian.AllocationPrefix+string(service)] = version
+	}
+}
+
 // copySources returns the addresses of instances from which copies may be requested: of live ones that the store answers,
 // or of all possible ones if there is none. The caller holds the lock.
 func (c *Conductor) copySources(now time.Time) []string {
--- a/custodian/eras.go
+++ b/custodian/eras.go
@@ -114,7 +114,7 @@
 // mayGrantFormer reports whether this process may still grant in a cell under an allocation of a former era.
 func (c *Custodian) mayGrantFormer(now time.Time, cell identifier.Cell, era identifier.Era) bool {
 	h, onRoster := c.ownHolder(cell)
-	return now.Before(c.eras.former[era][cell]) && !(onRoster && h.Fenced())
+	return now.Before(c.eras.former[era][cell]) && (!onRoster || !h.Fenced())
 }
 
 // mayHold reports whether grants of this process in a cell may be in force, or be sent under an allocation of a former era,
@@ -135,10 +135,19 @@
 	return !c.Leases.Idle(now, cell)
 }
 
+// mustJoin reports whether this process must add itself to the roster of a cell for the sake of the present era: it grants there
+// and the roster has to be written again, or it is not on that and may hold grants.
+func (c *Custodian) mustJoin(now time.Time, cell identifier.Cell, isGranter bool) bool {
+	if !c.rosterCounts(cell) {
+		return isGranter
+	}
+	return c.eras.present > 0 && !c.OnRoster(cell) && c.mayHold(now, cell)
+}
+
 // isCovered reports whether this process is on the roster of the present era in each cell in which it may hold grants.
 func (c *Custodian) isCovered(now time.Time) bool {
 	for cell := range c.allCells() {
-		if c.mayHold(now, cell) && !(c.OnRoster(cell) && c.rosterCounts(cell)) {
+		if c.mayHold(now, cell) && (!c.OnRoster(cell) || !c.rosterCounts(cell)) {
 			return false
 		}
 	}
--- a/custodian/rosters.go
+++ b/custodian/rosters.go
@@ -180,12 +180,11 @@
 	ownHolder, onRoster := c.ownHolder(cell)
 	isGranter := granter == c.settings.Instance
 	unresponsive := func(h leaser.Holder) bool { return c.unresponsive(now, h) }
-	counts := c.rosterCounts(cell)
 	switch {
-	case !counts && !isGranter:
-		return r, false
-	case !counts, !onRoster && c.eras.present > 0 && c.mayHold(now, cell):
+	case c.mustJoin(now, cell, isGranter):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, unresponsive), true
+	case !c.rosterCounts(cell):
+		return r, false
 	case isGranter && (!onRoster || ownHolder.Fenced() || slices.ContainsFunc(r.Holders, unresponsive)):
 		return r.Join(c.settings.Instance, c.settings.Incarnation, unresponsive), true
 	case !isGranter && onRoster && (ownHolder.Fenced() || c.anotherGrants(now, cell)) && !c.mayHold(now, cell):
