scheduler: expected wait counts the pace, urgent requests keep a faster one

Most refusals at hot owners came 0.2 s before the deadline, when a caller cannot return any more: the expected wait at the arrival left out the pace at which this instance sends to the owner. At slow servers reads counted as late when they arrived, and were put behind less urgent requests.

The expected wait is now at least the time until the request's turn. A request counts as late only once half of its target time has passed. The pace of the most urgent requests is 0.4 of the common one, and that of others up to 2.65 times it, so that the sum stays about the same.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -17,12 +17,17 @@
 	// idempotent. It is higher than that for pools, since no other server can run the request: 0.2 and 0.35 left the owners of
 	// hot keys idle.
 	maxOwnerRisk = 0.5
-	// rankPace is how much longer, as a fraction for each step of rank, a request waits for its turn at an owner that more
-	// instances want than it has slots: more urgent requests may wait at other instances.
-	rankPace = 0.5
+	// basePace and rankPace give the factor on the wait of a request for its turn at an owner that more instances want than it
+	// has slots: basePace for the most urgent ones, and rankPace more for each step of rank, since more urgent requests may wait
+	// at other instances.
+	basePace = 0.4
+	rankPace = 0.25
 	// maxPaceShare bounds the additional wait of a request that can still meet its target time, as a fraction of its time, so
 	// that no class starves.
-	maxPaceShare = 0.2
+	maxPaceShare = 0.5
+	// safeShare bounds the time that a request is taken to need, as a fraction of its target time: at a slow server, requests
+	// would count as late when they arrive.
+	safeShare = 0.5
 	// retryPace is the factor on the wait of a retry for its turn.
 	retryPace = 0.5
 )
@@ -197,7 +202,8 @@
 // be run, each would be sent just before its target time, and most would be late.
 func (s *Scheduler) safeTime(now time.Time, r *PendingRequest, c capacity) time.Duration {
 	work := s.estimates.work.Estimate(r.Class)
-	return time.Duration((work.Median() + work.Quantile90()) / 2 * s.lineSlowdown(now, r, c) * float64(time.Millisecond))
+	safe := time.Duration((work.Median() + work.Quantile90()) / 2 * s.lineSlowdown(now, r, c) * float64(time.Millisecond))
+	return min(safe, time.Duration(safeShare*float64(r.TargetTime.Sub(r.Arrived))))
 }
 
 // lineSlowdown returns the factor by which requests take longer at the servers of a line than their work.
@@ -220,13 +226,28 @@
 	mean := s.estimates.work.Service(l.key.service).Mean()
 	work, share := l.workAhead(r, rank(now, r, s.safeTime(now, r, c)))
 	work = max(work-r.queued.work, 0) // The request itself waits in the line already.
+	paced := s.pacedWait(now, r, c, work/mean)
 	work += mean * (share*c.waiting + max(c.running+c.peers-c.slots+1, 0))
 	wait := time.Duration(work / c.throughput * float64(time.Millisecond))
 	if !r.IsRetry {
 		returning := float64(l.bookings.Due(now, now.Add(wait)))
 		wait += time.Duration(returning * mean / c.throughput * float64(time.Millisecond))
 	}
-	return wait
+	return max(wait, paced)
+}
+
+// pacedWait returns the time until the turn of a request to be sent to the owner of its key, with the given number of others
+// before it; 0 if the requests are not paced.
+func (s *Scheduler) pacedWait(now time.Time, r *PendingRequest, c capacity, ahead float64) time.Duration {
+	if c.server == nil {
+		return 0
+	}
+	interval, paced := s.ownerInterval(now, c.server)
+	if !paced {
+		return 0
+	}
+	interval = s.urgencyInterval(r, interval)
+	return max(c.server.lastSentAt.Add(interval).Sub(now), 0) + time.Duration(ahead*float64(interval))
 }
 
 // refuseBooked refuses a request. Its caller returns at a booked time, if one is left of which the caller will make use.
@@ -285,12 +306,14 @@
 // sweepLine refuses the requests of a line that cannot be answered before their deadlines.
 func (s *Scheduler) sweepLine(now time.Time, l *line) {
 	c := s.capacityOf(now, l.key)
+	mean := s.estimates.work.Service(l.key.service).Mean()
 	var hopeless []*PendingRequest
-	ahead := 0.0
+	ahead, before := 0.0, 0
 	for _, g := range l.groups {
 		wait := c.pause
 		if c.throughput > 0 {
-			wait = max(wait, time.Duration(ahead/c.throughput*float64(time.Millisecond)))
+			others := c.waiting * float64(before) / float64(l.count)
+			wait = max(wait, time.Duration((ahead+others*mean)/c.throughput*float64(time.Millisecond)))
 		}
 		for _, requests := range []requestHeap{g.retries, g.firsts} {
 			for _, r := range requests {
@@ -300,6 +323,7 @@
 			}
 		}
 		ahead += g.work
+		before += g.count()
 	}
 	for _, r := range hopeless {
 		l.remove(r)
