--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,10 @@
 // request; server.go what is known of each backend server: its estimated load, its request limit and the pace at which
 // requests are sent to it; doubt.go what is done about servers that may be cold without this instance knowing. silence.go
 // finds requests that a server will never answer.
+//
+// With Options.CostAware, other files take the place of the queue and of the choice: line.go and admission.go have the order
+// of the requests, the refusals and the pace; choice.go the choice of a pool's server; estimates.go and capacity.go what is
+// expected of each server. See docs/design/cost-aware-routing.md and admission.md.
 package scheduler
 
 import (
@@ -127,19 +131,6 @@
 	return now.Sub(s.informedAt)
 }
 
-// ServiceTime returns the average service time of a request at a server in milliseconds, without the time for which it
-// waits there, as this instance estimates it. It returns false if the server is not known.
-func (s *Scheduler) ServiceTime(id identifier.BackendServer) (ms float64, ok bool) {
-	sv, ok := s.servers[id]
-	if !ok {
-		return 0, false
-	}
-	if s.options.CostAware {
-		return s.estimates.work.Service(sv.entry.Service).Mean() * s.estimates.work.Slowdown(sv.entry.Service, id), true
-	}
-	return sv.serviceTime, true
-}
-
 // Enqueue adds a request to the queue of its service and delivers all decisions of that queue that can be made now.
 func (s *Scheduler) Enqueue(now time.Time, r *PendingRequest) {
 	if s.options.CostAware {
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -245,3 +245,16 @@
 	}
 	return c
 }
+
+// ServiceTime returns the average service time of a request at a server in milliseconds, without the time for which it
+// waits there, as this instance estimates it. It returns false if the server is not known.
+func (s *Scheduler) ServiceTime(id identifier.BackendServer) (ms float64, ok bool) {
+	sv, ok := s.servers[id]
+	if !ok {
+		return 0, false
+	}
+	if s.options.CostAware {
+		return s.estimates.work.Service(sv.entry.Service).Mean() * s.estimates.work.Slowdown(sv.entry.Service, id), true
+	}
+	return sv.serviceTime, true
+}
