conductor, forwarder, mirrorer: a removed API key works nowhere after the bound

Cause: where strict_revoke is set, no request may be sent later than revoke_s after the store acknowledged a configuration that removes its key, also at an instance that is cut off.

Change: the mirror records up to when its copy has all changes. An instance whose evidence is older than 0.4 of the bound asks a relay of its zone, or the planner, by a call that it dates by its own request; at half of the bound it asks the store by a watch that hardly waits. Once the evidence is older than the bound less 0.5 s, requests with keys get 503 and the instance is not ready. Keys are checked again before each send, since requests wait.

--- a/answerer/code.go
+++ b/answerer/code.go
@@ -40,6 +40,7 @@
 	CodeStopping           Code = 3011
 	CodeOverQuota          Code = 3012
 	CodeQuotaUnknown       Code = 3013
+	CodeStaleKeys          Code = 3014
 	CodeRequestIDTooOld    Code = 3009
 	CodeInDoubt            Code = 4008
 	CodeBackendUnreachable Code = 4001
@@ -91,6 +92,7 @@
 	{CodeMemoryFull, "MemoryFull", http.StatusServiceUnavailable, "The requests of the instance hold all the memory that they may use."},
 	{CodeOverQuota, "OverQuota", http.StatusTooManyRequests, "The tenant's quota is used up."},
 	{CodeQuotaUnknown, "QuotaUnknown", http.StatusServiceUnavailable, "The instance has no part of the tenant's quota, since it does not know how much others use."},
+	{CodeStaleKeys, "StaleKeys", http.StatusServiceUnavailable, "The instance cannot know whether the API key is still valid, since it has not heard of the configuration for too long."},
 	{CodeRequestIDTooOld, "RequestIDTooOld", http.StatusConflict, "The Idempotency-Key is older than the time for which outcomes are kept."},
 	{CodeBackendUnreachable, "BackendUnreachable", http.StatusServiceUnavailable, "No connection to the backend server could be made."},
 	{CodeBackendBroke, "BackendBroke", http.StatusBadGateway, "The connection to the backend server broke after the request was sent."},
--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -16,29 +16,50 @@
 // scheme is the authentication scheme of API keys. Schemes are compared without regard to case (RFC 9110, section 11.1).
 const scheme = "Bearer"
 
-// ErrUnknownKey reports that a request that needs an API key has none, or one that no tenant has. Its text has no key.
-var ErrUnknownKey = errors.New("the request needs the API key of a tenant")
-
-// Authenticate returns the tenant of a request on a route, or nil if the request needs no API key: the configuration has no
-// tenants or the route is anonymous, where a key is not looked at. The error is ErrUnknownKey.
-func Authenticate(table *director.Table, route *director.Route, h http.Header) (*director.Tenant, error) {
-	if !NeedsKey(table, route) {
-		return nil, nil
+// The errors of Authenticate. Their texts have no key.
+var (
+	// ErrNoKey reports that a request has no API key and needs one.
+	ErrNoKey = errors.New("the request needs an API key")
+	// ErrUnknownKey reports that no tenant has the API key of a request.
+	ErrUnknownKey = errors.New("no tenant has the API key of the request")
+)
+
+// Identity is the tenant of a request and the digest of the key by which it was found.
+type Identity struct {
+	Tenant *director.Tenant
+	Key    director.KeyDigest
+}
+
+// Authenticate returns the identity of the caller of a request on a route. The tenant is nil if the request needs no API key:
+// the configuration has no tenants or the route is anonymous, where a key is not looked at. The error is ErrNoKey or
+// ErrUnknownKey.
+func Authenticate(table *director.Table, route *director.Route, h http.Header) (Identity, error) {
+	if !table.HasTenants() || route.Anonymous {
+		return Identity{}, nil
 	}
 	key, ok := bearer(h)
 	if !ok {
-		return nil, ErrUnknownKey
+		return Identity{}, ErrNoKey
 	}
+	return identify(table, director.DigestKey(key))
+}
+
+// identify returns the identity of a caller with a key.
+func identify(table *director.Table, key director.KeyDigest) (Identity, error) {
 	tenant := table.TenantOf(key)
 	if tenant == nil {
-		return nil, ErrUnknownKey
+		return Identity{}, ErrUnknownKey
 	}
-	return tenant, nil
+	return Identity{Tenant: tenant, Key: key}, nil
 }
 
-// NeedsKey reports whether requests on a route need an API key.
-func NeedsKey(table *director.Table, route *director.Route) bool {
-	return table.HasTenants() && !route.Anonymous
+// Check returns the identity of a caller by a later configuration, from which its key may be gone: the error is ErrUnknownKey
+// then. A caller that needed no key, or needs none any more, keeps its identity.
+func Check(table *director.Table, id Identity) (Identity, error) {
+	if id.Tenant == nil || !table.HasTenants() {
+		return id, nil
+	}
+	return identify(table, id.Key)
 }
 
 // bearer returns the key in the headers of a request. ok is false if there is none, or more than one header that may have
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -48,12 +48,12 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			got, err := authenticator.Authenticate(c.table, c.route, http.Header{"Authorization": c.values})
-			if c.ok != (err == nil) || err != nil && !errors.Is(err, authenticator.ErrUnknownKey) {
+			if c.ok != (err == nil) || err != nil && !errors.Is(err, authenticator.ErrUnknownKey) && !errors.Is(err, authenticator.ErrNoKey) {
 				t.Fatalf("error %v, want success %t", err, c.ok)
 			}
 			name := identifier.Tenant("")
-			if got != nil {
-				name = got.Name
+			if got.Tenant != nil {
+				name = got.Tenant.Name
 			}
 			if name != c.want {
 				t.Errorf("tenant %q, want %q", name, c.want)
@@ -61,3 +61,40 @@
 		})
 	}
 }
+
+// TestCheck guards against a request that is sent although its key was removed, or given to another tenant, while it waited.
+func TestCheck(t *testing.T) {
+	keys := []director.KeyDigest{director.DigestKey("k1")}
+	with := func(tenants ...director.Tenant) *director.Table {
+		table, err := director.New(1, nil, nil, director.Limits{}).WithTenants(tenants)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return table
+	}
+	before := with(director.Tenant{Name: "a", Keys: keys})
+	id, err := authenticator.Authenticate(before, &director.Route{}, http.Header{"Authorization": {"Bearer k1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]struct {
+		table *director.Table
+		want  identifier.Tenant
+	}{
+		"Kept":      {with(director.Tenant{Name: "a", Keys: keys}), "a"},
+		"Removed":   {with(director.Tenant{Name: "a"}), ""},
+		"Moved":     {with(director.Tenant{Name: "a"}, director.Tenant{Name: "b", Keys: keys}), "b"},
+		"NoTenants": {director.New(2, nil, nil, director.Limits{}), "a"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := authenticator.Check(c.table, id)
+			if (err == nil) != (c.want != "") || err == nil && got.Tenant.Name != c.want {
+				t.Errorf("identity %+v, error %v; want tenant %q", got, err, c.want)
+			}
+		})
+	}
+	if got, err := authenticator.Check(with(), authenticator.Identity{}); err != nil || got.Tenant != nil {
+		t.Errorf("anonymous caller: identity %+v, error %v", got, err)
+	}
+}
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -165,7 +165,8 @@
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetryExtra: s.Bounds.RetryExtra,
 		ColdOvershoot: s.Bounds.ColdOvershoot, ColdSlack: s.Bounds.ColdSlack,
 		PipelinedRequests: s.PipelinedRequests, CostAware: s.PipelinedRequests,
-		QuotaWindow:       s.Bounds.QuotaWindow, QuotaOvershoot: s.Bounds.QuotaOvershoot, QuotaSlack: s.Bounds.QuotaSlack, Bootstrap: s.Bootstrap,
+		QuotaWindow: s.Bounds.QuotaWindow, QuotaOvershoot: s.Bounds.QuotaOvershoot, QuotaSlack: s.Bounds.QuotaSlack, Bootstrap: s.Bootstrap,
+		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.RevokeTime,
 	}
 	for _, seed := range s.Seeds {
 		out.Seeds = append(out.Seeds, address(seed, s.PeerPort))
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -8,7 +8,8 @@
 // front.go chooses the server of callers' connections. requests.go serves their requests (it implements forwarder.Core), planning.go plans
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
 // objects, and records.go keeps the records of the instances among which bounds are divided. quotas.go
-// keeps the tenants' quotas, and quota_start.go those of an installation that starts. peers.go
+// keeps the tenants' quotas, and quota_start.go those of an installation that starts. evidence.go
+// tracks how old the configuration may be, for the API keys that it may have lost. peers.go
 // exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
 // the platform's store, and eras.go acts when the store came back from a copy.
 package conductor
@@ -98,6 +99,8 @@
 	QuotaSlack        float64       // A number of requests that a tenant may have in addition in a window.
 	Bootstrap         bool          // The whole installation starts for the first time.
 	CostAware         bool          // Requests are sent and refused by estimates of their work; see scheduler.Options.
+	StrictRevoke      bool          // No request may run whose API key was removed longer ago than RevokeTime.
+	RevokeTime        time.Duration
 }
 
 // Store is the client of the platform's store. Put writes an object if its present version is
@@ -196,6 +199,7 @@
 	sendingTo         map[string]int // By address, the number of messages that are being sent.
 	apportioner       *apportioner.Apportioner
 	quotas            quotas
+	evidence          evidence
 	bodies            *rationer.Rationer                // For the bodies of callers' requests.
 	costAware         bool                              // The scheduler decides by costs.
 	sharers           int                               // The number of instances among which bounds are divided, as last logged.
@@ -281,10 +285,13 @@
 		timing.WatchDelay = max(timing.WatchDelay, startWatchDelay)
 	case kind == c.kinds.Config && c.ownership.Gossip.Relayed():
 		if c.watchesForOthers(now) {
-			timing.WatchWait = relayWatchWait
+			timing.WatchWait = c.evidenceWatchTime(relayWatchWait)
 		}
 	case kind == c.kinds.Config && (c.usesShortWatch(int(factor)) || c.ownership.Planner(now) == c.settings.Instance):
 		timing.WatchWait = shortWatchWait
+		if c.ownership.Planner(now) == c.settings.Instance {
+			timing.WatchWait = c.evidenceWatchTime(shortWatchWait)
+		}
 	case kind == c.kinds.Shared: // The instance that writes a shared object sends it to the others.
 		timing.WatchWait, timing.ListInterval = 0, min(listInterval*factor, maxListInterval)
 		if c.delegates() && c.ownership.Gossip.Forwards() {
@@ -337,7 +344,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context){
-		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop, c.quotaLoop,
+		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop, c.quotaLoop, c.evidenceLoop,
 	} {
 		c.tasks.Go(loop)
 	}
@@ -451,11 +458,11 @@
 }
 
 // isReady reports whether the instance accepts requests: it has a routing configuration, has known at
-// least one backend server, and is not leaving.
+// least one backend server, is not leaving, and does not refuse all requests with API keys.
 func (c *Conductor) isReady() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaving || c.view.table == nil {
+	if c.leaving || c.view.table == nil || c.refusesKeys(c.clock()) {
 		return false
 	}
 	if !c.wasReady {
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -50,8 +50,11 @@
 // HandleRequest implements transporter.Handler: it answers another instance's request for copies of
 // the platform's objects, or its call about the tenants' quotas. It returns nil if the request does not decode.
 func (c *Conductor) HandleRequest(_ context.Context, kind transporter.Kind, data []byte) []byte {
-	if kind == transporter.KindQuota {
+	switch kind {
+	case transporter.KindQuota:
 		return c.handleQuotaCall(data)
+	case transporter.KindEvidence:
+		return c.handleEvidenceCall()
 	}
 	var req copyRequest
 	if kind != transporter.KindCopy || cbor.Unmarshal(data, &req) != nil {
--- a/conductor/view.go
+++ b/conductor/view.go
@@ -125,6 +125,7 @@
 		if o.Name != c.kinds.ConfigObject || o.Version <= c.view.configObjectVersion {
 			continue
 		}
+		c.evidence.seenVersion = max(c.evidence.seenVersion, o.Version)
 		table, err := c.codec.DecodeTable(o.Data)
 		if err != nil {
 			c.log.WithFields(logrus.Fields{"Object": o.Name, "Version": o.Version, "Error": err}).Warning("routing configuration does not decode, the present one stays in force")
--- a/director/tenants.go
+++ b/director/tenants.go
@@ -91,5 +91,5 @@
 // Tenant returns the tenant of a name, or nil.
 func (t *Table) Tenant(name identifier.Tenant) *Tenant { return t.tenants[name] }
 
-// TenantOf returns the tenant that has an API key, or nil.
-func (t *Table) TenantOf(key string) *Tenant { return t.byKey[DigestKey(key)] }
+// TenantOf returns the tenant that has the API key with a digest, or nil.
+func (t *Table) TenantOf(key KeyDigest) *Tenant { return t.byKey[key] }
--- a/director/tenants_test.go
+++ b/director/tenants_test.go
@@ -65,16 +65,16 @@
 		t.Fatal(err)
 	}
 	for key, want := range map[string]identifier.Tenant{"k1": "a", "k2": "a", "k3": "b"} {
-		if got := table.TenantOf(key); got == nil || got.Name != want {
+		if got := table.TenantOf(director.DigestKey(key)); got == nil || got.Name != want {
 			t.Errorf("key %s is that of %v, want %s", key, got, want)
 		}
 	}
 	for _, key := range []string{"", "k", "K1", "k1 "} {
-		if got := table.TenantOf(key); got != nil {
+		if got := table.TenantOf(director.DigestKey(key)); got != nil {
 			t.Errorf("key %q is that of %s, want none", key, got.Name)
 		}
 	}
-	if base.HasTenants() || !table.HasTenants() || base.TenantOf("k1") != nil {
+	if base.HasTenants() || !table.HasTenants() || base.TenantOf(director.DigestKey("k1")) != nil {
 		t.Error("the table without tenants has some, or the one with tenants has none")
 	}
 	if list := table.Tenants(); len(list) != 2 || list[0].Name != "a" || table.Tenant("b") != list[1] {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,6 +43,9 @@
 	// Exchange sends a request to a backend server and returns its answer; send is from the decision on the request. Its
 	// errors are those of exchanger.Pool.Do, and a *exchanger.BrokenError that wraps ErrSilent if the server will not answer.
 	Exchange(ctx context.Context, e registrar.Entry, send scheduler.Send, r *exchanger.Request) (exchanger.Answer, error)
+	// KeysAreCurrent reports whether no API key can have been removed too long ago without this instance knowing, and if not,
+	// when that may change.
+	KeysAreCurrent() (ok bool, retryAfter time.Duration)
 	// PeekQuota decides on a request of a tenant at its arrival: the refusal is nil if it may wait to be sent. The tenant may
 	// be nil.
 	PeekQuota(t *director.Tenant) *QuotaRefusal
@@ -137,7 +140,8 @@
 type activeRequest struct {
 	route       *director.Route
 	tenant      *director.Tenant // Nil if the request needs no API key.
-	inQuota     bool             // It counts as waiting for its tenant's quota.
+	keyDigest   director.KeyDigest
+	inQuota     bool // It counts as waiting for its tenant's quota.
 	service     identifier.Service
 	id          string
 	header      http.Header
@@ -207,7 +211,7 @@
 			f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
 			return req.notRun(&result{code: answerer.CodeQueueFull, retryAfter: defaultRetryAfter, detail: "too many retries to the service; the request was not sent again"})
 		}
-		if res := f.takeQuota(ctx, caller, req, d); res != nil {
+		if res := f.mayNotSend(ctx, caller, req, d); res != nil {
 			return res
 		}
 		if res := f.attempt(ctx, caller, req, d); res != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -40,6 +40,7 @@
 	replaced    identifier.BackendServer
 	notice      registrar.Notice
 
+	staleKeys      bool
 	quotaAtArrival *forwarder.QuotaRefusal
 	quotaSends     int
 	quotaLeft      int
@@ -56,6 +57,7 @@
 func (c *core) RecordNotOwner(registrar.Entry, identifier.Service, identifier.ShardKey) { c.notOwner++ }
 func (c *core) RecordOwner(registrar.Entry, identifier.Service, identifier.ShardKey)    {}
 
+func (c *core) KeysAreCurrent() (bool, time.Duration)               { return !c.staleKeys, time.Second }
 func (c *core) PeekQuota(*director.Tenant) *forwarder.QuotaRefusal  { return nil }
 func (c *core) EnterQuota(*director.Tenant) *forwarder.QuotaRefusal { return c.quotaAtArrival }
 func (c *core) LeaveQuota(*director.Tenant)                         { c.quotaLeft++ }
@@ -129,6 +131,11 @@
 
 // send serves one request with the given core and returns the answer. change may alter the request first.
 func send(c *core, method, path string, change func(*http.Request)) *httptest.ResponseRecorder {
+	return sendTo(c, method, path, change)
+}
+
+// sendTo is send with any core.
+func sendTo(c forwarder.Core, method, path string, change func(*http.Request)) *httptest.ResponseRecorder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := forwarder.New(names, noNotice, c, rationer.New(1<<20), time.Now, logrus.NewEntry(log))
--- a/forwarder/tenants.go
+++ b/forwarder/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -14,11 +15,37 @@
 // authenticate finds the tenant of a request. It returns nil, or the answer to a request that needs an API key and has no
 // known one. The answer does not tell a missing key from an unknown one, and never contains the key.
 func (f *Forwarder) authenticate(req *activeRequest, table *director.Table, r *http.Request) *result {
-	tenant, err := authenticator.Authenticate(table, req.route, r.Header)
+	id, err := authenticator.Authenticate(table, req.route, r.Header)
+	return f.identified(req, id, err)
+}
+
+// identified records the identity of a caller. It returns nil, or the answer to a request that must not be sent: nobody has its
+// key, or this instance cannot know. A key is not called unknown then, since it may have been added.
+func (f *Forwarder) identified(req *activeRequest, id authenticator.Identity, err error) *result {
+	if id.Tenant != nil || errors.Is(err, authenticator.ErrUnknownKey) {
+		if ok, retryAfter := f.core.KeysAreCurrent(); !ok {
+			return &result{code: answerer.CodeStaleKeys, status: http.StatusServiceUnavailable, retryAfter: retryAfter, detail: "the instance cannot know at present whether the API key is valid; the request was not sent"}
+		}
+	}
 	if err != nil {
 		return &result{code: answerer.CodeUnknownAPIKey, status: http.StatusUnauthorized, detail: "the request needs an API key of a tenant"}
 	}
-	req.tenant = tenant
+	req.tenant, req.keyDigest = id.Tenant, id.Key
+	return nil
+}
+
+// checkKey decides again on the key of a request that is about to be sent, since it may have waited for long. It returns nil, or
+// the answer to the caller.
+func (f *Forwarder) checkKey(req *activeRequest) *result {
+	table := f.core.Table()
+	if req.tenant == nil || table == nil {
+		return nil
+	}
+	id, err := authenticator.Check(table, authenticator.Identity{Tenant: req.tenant, Key: req.keyDigest})
+	if res := f.identified(req, id, err); res != nil {
+		return res
+	}
+	req.header.Set(f.names.Tenant, string(req.tenant.Name))
 	return nil
 }
 
@@ -87,19 +114,22 @@
 	}
 }
 
-// takeQuota counts a request that is about to be sent to the server of a decision. It returns nil if it may be sent;
-// otherwise the server is released.
-func (f *Forwarder) takeQuota(ctx, caller context.Context, req *activeRequest, d scheduler.Decision) *result {
+// mayNotSend checks the key of a request that is about to be sent to the server of a decision, and counts the request in its
+// tenant's quota. It returns nil if it may be sent; otherwise the server is released.
+func (f *Forwarder) mayNotSend(ctx, caller context.Context, req *activeRequest, d scheduler.Decision) *result {
 	f.leaveQuota(req)
-	refusal := f.core.TakeQuota(ctx, req.tenant)
-	if refusal == nil {
-		return nil
+	res := f.checkKey(req)
+	if res == nil {
+		refusal := f.core.TakeQuota(ctx, req.tenant)
+		if refusal == nil {
+			return nil
+		}
+		res = refusal.result()
 	}
 	f.core.RecordOutcome(d.Server, scheduler.Report{Outcome: scheduler.Cancelled, Send: d.Send})
 	if ctx.Err() != nil {
 		return f.abandoned(caller, req, false)
 	}
-	res := refusal.result()
 	if req.mayHaveRun { // An earlier attempt may have run, which the status must not deny.
 		res.status, res.retryAfter = http.StatusBadGateway, 0
 	}
--- a/gossiper/relay.go
+++ b/gossiper/relay.go
@@ -154,6 +154,17 @@
 	return d
 }
 
+// ZoneRelays returns the other instances that relay for the zone of this one.
+func (g *Gossiper) ZoneRelays(now time.Time) []*Peer {
+	var live []*Peer
+	for _, p := range g.Live(now) {
+		if p.Zone == g.self.Zone {
+			live = append(live, p)
+		}
+	}
+	return slices.DeleteFunc(g.relays(g.self.Zone, live), func(p *Peer) bool { return p == nil })
+}
+
 // newcomers returns the addresses of the instances that requested an introduction and get one now.
 func (g *Gossiper) newcomers(now time.Time) []string {
 	var addresses []string
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -63,6 +63,7 @@
 	revision    identifier.Version
 	changed     identifier.Version // The revision at which the copy last changed.
 	requestedAt time.Time          // When the newest list was requested.
+	currentAt   time.Time          // The copy has all changes up to then.
 	cancelRound context.CancelFunc // Cancels the present watch, so that the kind is listed again.
 	listing     bool               // A list is under way.
 	listAgain   bool               // Relist was called while a list was under way.
@@ -132,6 +133,7 @@
 			clocker.Sleep(ctx, timing.ListInterval)
 			return ctx.Err()
 		}
+		requestedAt := m.clock()
 		events, err := m.platform.Watch(ctx, m.kind, from, timing.WatchWait)
 		if err != nil {
 			return err
@@ -139,6 +141,7 @@
 		onSuccess()
 		from = max(from, events.Revision)
 		m.applyEvents(events)
+		m.recordCurrent(requestedAt)
 		if len(events.Events) > 0 && !clocker.Sleep(ctx, timing.WatchDelay) {
 			return ctx.Err()
 		}
@@ -161,7 +164,9 @@
 			return 0, err
 		}
 		onSuccess()
-		m.ApplyList(Copy{m.kind, page.Revision, page.Objects}, requestedAt)
+		if m.ApplyList(Copy{m.kind, page.Revision, page.Objects}, requestedAt) {
+			m.recordCurrent(requestedAt)
+		}
 		if !again {
 			return page.Revision, nil
 		}
@@ -285,6 +290,25 @@
 	return newest
 }
 
+// recordCurrent records that the copy has all changes up to the time at which a call was requested that has been answered and
+// applied. A watch without events counts from its request as well, although it waited: one that waits while the store drops
+// its history delivers no events.
+func (m *Mirror) recordCurrent(requestedAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if requestedAt.After(m.currentAt) {
+		m.currentAt = requestedAt
+	}
+}
+
+// CurrentAt returns a time up to which the copy has all changes, by the answers of the platform to this mirror; zero if it has
+// answered none.
+func (m *Mirror) CurrentAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentAt
+}
+
 // Revision returns the revision of the newest answer.
 func (m *Mirror) Revision() identifier.Version {
 	m.mu.Lock()
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,3 +189,50 @@
 		t.Error("late object of the former era was applied")
 	}
 }
+
+// TestCurrentAt guards against a copy that counts as current up to a time at which it may have missed a change: a watch counts
+// from its request, also if it waited without events, and a call that has not been answered does not count.
+func TestCurrentAt(t *testing.T) {
+	s := &scriptedPlatform{make(chan storer.Page), make(chan any)}
+	start := time.Unix(1000, 0)
+	var seconds atomic.Int64 // The clock goes on by a second with each call.
+	m := mirrorer.New("k", s, func(storer.ObjectKind) mirrorer.Timing {
+		return mirrorer.Timing{WatchWait: time.Second, WatchDelay: time.Millisecond}
+	},
+		func() time.Time { return start.Add(time.Duration(seconds.Add(1)) * time.Second) },
+		func(storer.ObjectKind) {}, func(storer.ObjectKind, error) {}, func(context.Context, int) {})
+	if !m.CurrentAt().IsZero() {
+		t.Error("copy is current before the first answer")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go m.Run(ctx)
+	steps := []struct {
+		answer any
+		want   int // Seconds after the start; the number of the call that has been answered.
+	}{
+		{storer.Page{Revision: 2}, 1},
+		{storer.Events{Revision: 2}, 2},
+		{storer.Events{Events: []storer.Event{{Object: object("a", 3)}}, Revision: 3}, 3},
+		{storer.ErrHistoryGone, 3},
+		{storer.Page{Revision: 4}, 5},
+		{storer.Events{Revision: 4}, 6},
+	}
+	for n, step := range steps {
+		if page, ok := step.answer.(storer.Page); ok {
+			s.lists <- page
+		} else {
+			s.watches <- step.answer
+		}
+		for range 1000 { // The answer is applied at once, in another goroutine.
+			if m.CurrentAt().Equal(start.Add(time.Duration(step.want) * time.Second)) {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if got := m.CurrentAt().Sub(start); got != time.Duration(step.want)*time.Second {
+			t.Errorf("after answer %d the copy is current up to %s, want %d s", n, got, step.want)
+		}
+	}
+	cancel()
+	<-m.Done()
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -56,6 +56,8 @@
 	KindRecord  Kind = 2 // A call of package recorder to a journal writer.
 	KindCopy    Kind = 3 // A request for another instance's copies of the platform's objects.
 	KindQuota   Kind = 4 // A call of package rentier to the distributor of the tenants' quotas.
+	// KindEvidence asks how old the evidence is that another instance's configuration is current.
+	KindEvidence Kind = 5
 )
 
 // UnreachableError reports that a peer could not be reached and has not received the message or request.
