--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -200,6 +200,7 @@
 	apportioner       *apportioner.Apportioner
 	quotas            quotas
 	evidence          evidence
+	tenantUses        tenantUses
 	bodies            *rationer.Rationer                // For the bodies of callers' requests.
 	costAware         bool                              // The scheduler decides by costs.
 	sharers           int                               // The number of instances among which bounds are divided, as last logged.
@@ -250,6 +251,7 @@
 		sendingTo: map[string]int{}, lagDetectors: map[storer.ObjectKind]*mirrorer.LagDetector{}, done: make(chan error, 1),
 	}
 	c.view, c.bodies, c.quotas = newView(), rationer.New(s.BodyMemory), newQuotas(now, s)
+	c.tenantUses = newTenantUses()
 	c.apportioner, c.missingSince = apportioner.New(s.Instance), map[identifier.Instance]time.Time{}
 	c.ownership = custodian.New(now, custodian.Settings{
 		Instance: s.Instance, Incarnation: s.Incarnation, Zone: s.Zone, Address: s.PeerAddress, Capacity: s.Capacity, CellSize: custodian.CellSize,
--- a/conductor/quotas.go
+++ b/conductor/quotas.go
@@ -58,6 +58,7 @@
 			list = append(list, rentier.Quota{Tenant: t.Name, Rate: t.Rate, Capacity: c.quotaCapacity(t)})
 		}
 	}
+	c.tenantUses.keep(table)
 	c.quotas.rentier.SetQuotas(now, list)
 	c.quotas.distributor.SetQuotas(now, list)
 }
@@ -107,6 +108,9 @@
 	defer c.mu.Unlock()
 	c.updateQuotaShare(now)
 	verdict, wait := decide(now, t.Name)
+	if verdict != rentier.Allowed { // What is allowed is counted when it is sent.
+		c.countTenant(t.Name, verdict)
+	}
 	return quotaRefusal(verdict, wait)
 }
 
@@ -131,14 +135,15 @@
 
 // TakeQuota implements forwarder.Core. If this instance has no token, it asks the distributor for one.
 func (c *Conductor) TakeQuota(ctx context.Context, t *director.Tenant) *forwarder.QuotaRefusal {
-	if t == nil || t.Rate <= 0 {
+	if t == nil {
 		return nil
 	}
 	now := c.clock()
 	c.mu.Lock()
 	c.updateQuotaShare(now)
-	verdict, wait := c.quotas.rentier.Take(now, t.Name)
+	verdict, wait := c.quotas.rentier.Take(now, t.Name) // It allows all if the tenant has no quota.
 	if verdict != rentier.MayAsk || c.quotas.waiting >= maxQuotaWaiters {
+		c.countTenant(t.Name, verdict)
 		c.mu.Unlock()
 		return quotaRefusal(verdict, max(wait, quotaTickInterval))
 	}
@@ -147,16 +152,19 @@
 	c.quotas.waiting++
 	c.mu.Unlock()
 	trigger(c.quotaTrigger)
+	ok := false
 	select {
-	case ok := <-granted:
-		if ok {
-			return nil
-		}
+	case ok = <-granted:
 	case <-ctx.Done():
 	}
 	now = c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ok {
+		c.countTenant(t.Name, rentier.Allowed)
+		return nil
+	}
+	c.countTenant(t.Name, rentier.OverQuota)
 	return quotaRefusal(rentier.OverQuota, c.quotas.rentier.Wait(now, t.Name))
 }
 
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -339,6 +339,7 @@
 			line("  %s owner %s incarnation %d epoch %d moving %t", s.Range, s.Owner, s.Incarnation, s.Epoch, s.Moving)
 		}
 	}
+	c.dumpTenants(now, line)
 	line("Bounds shared by %d instances, changes of backend servers known up to %s ago", c.apportioner.Sharers(now), c.viewAge(now).Round(time.Millisecond))
 	running := c.scheduler.RunningByServer()
 	ids := make([]string, 0, len(c.view.entries))
