conductor, commander, platform: misbehaving clients stay within memory and descriptors

The listeners for callers, readiness checks and metrics took connections and heads without bound; on the last two, nothing ended a connection that waited. They are wrapped by acceptor now. The bounds follow from memory_mb, max_fds (read from the settings file; below 0 is an error) and the configuration's limits: docs/SETTINGS.md, docs/design/misbehaving-clients.md. The memory limit of the garbage collector was set from memory_mb before and stays as it is.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -30,6 +30,9 @@
 	closed  bool
 }
 
+// NetConn returns the connection that is wrapped, as tls.Conn.NetConn does.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It counts the heads of requests, and fails if one exceeds a bound.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+	"golang.org/x/sys/unix"
 
 	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/conductor"
@@ -42,6 +44,21 @@
 	answerMemoryShare = 0.05
 	// defaultMemoryBytes is the memory that the shares are of if the settings file does not state it.
 	defaultMemoryBytes = 512 << 20
+	// headMemoryShare is the share that the heads of callers' requests may use together, connectionShare the share that
+	// bounds the number of callers' connections, of which each is counted with connectionBytes, and writerShare that for
+	// answers that callers read slowly, of which each is counted with writerBytes.
+	headMemoryShare = 0.08
+	connectionShare = 0.2
+	writerShare     = 0.1
+	// connectionBytes is about twice what an idle connection of net/http uses: two goroutines, two buffers and its context.
+	connectionBytes = 32 << 10
+	// writerBytes is what is held of an answer that is being written: its first 64 KiB and a buffer of 32 KiB.
+	writerBytes = 96 << 10
+	// reservedDescriptors are those that are not for connections of callers and of backend servers: listeners, readiness
+	// checks, metrics, the store and the settings file.
+	reservedDescriptors = 96
+	// minConnections is the smallest bound on callers' connections, whatever the settings file states.
+	minConnections = 16
 	// gcPercent is the growth of the heap, in per cent of the live heap, after which the garbage collector runs. The live
 	// heap is a small part of an instance's memory, and its processor is not.
 	gcPercent = 300
@@ -158,6 +175,10 @@
 		Instance: s.Instance, Zone: s.Zone, FrontAddress: s.FrontAddress, ReadyAddress: s.ReadyAddress,
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		PeerAddress: address(s.IP, s.PeerPort), MetricsAddress: address(s.IP, s.MetricsPort),
+		Callers: conductor.CallerLimits{
+			Connections: maxCallerConnections(s.MaxFDs, memory), Writers: max(int(writerShare*memory/writerBytes), minConnections),
+			HeadMemory: int64(headMemoryShare * memory),
+		},
 		BodyMemory: int64(bodyMemoryShare * memory), PeerMemory: int64(peerMemoryShare * memory), AnswerMemory: int64(answerMemoryShare * memory),
 		Heartbeat: s.Heartbeat, MaxLeaseDuration: s.Bounds.MaxLeaseDuration, GraceTime: s.Bounds.GraceTime,
 		Capacity:  min(s.Cores, s.LinkMbps/linkMbpsPerCore),
@@ -174,6 +195,21 @@
 	return out
 }
 
+// maxCallerConnections returns the largest number of callers' connections. Half of the descriptors that are not reserved are
+// for them, the other half for connections to backend servers. maxFDs is 0 if it is not known; then the process's own limit on
+// descriptors applies.
+func maxCallerConnections(maxFDs int, memory float64) int {
+	byMemory := int(connectionShare * memory / connectionBytes)
+	if maxFDs == 0 {
+		var own unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur > math.MaxInt32 {
+			return max(byMemory, minConnections)
+		}
+		maxFDs = int(own.Cur)
+	}
+	return max(min((maxFDs-reservedDescriptors)/2, byMemory), minConnections)
+}
+
 // logSettingsChanges reads the settings file again when its modification time changes or a signal arrives on hup,
 // and logs whether it is valid and still names the same store. It applies nothing: addresses and limits stay as they
 // are until the process restarts. It returns the error of ctx when ctx ends.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -9,7 +9,8 @@
 // allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
 // objects, and records.go keeps the records of the instances among which bounds are divided. quotas.go
 // keeps the tenants' quotas, and quota_start.go those of an installation that starts. evidence.go
-// tracks how old the configuration may be, for the API keys that it may have lost. peers.go
+// tracks how old the configuration may be, for the API keys that it may have lost. listeners.go
+// bounds what callers' connections use. peers.go
 // exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
 // the platform's store, and eras.go acts when the store came back from a copy.
 package conductor
@@ -78,6 +79,7 @@
 	PeerAddress      string
 	MetricsAddress   string
 	Seeds            []string      // Peer addresses at which other instances may run.
+	Callers          CallerLimits  // Bounds on callers' connections.
 	BodyMemory       int64         // Bytes that the bodies of callers' requests may hold together.
 	AnswerMemory     int64         // Bytes that answers may hold together which wait for others of their connections.
 	PeerMemory       int64         // Bytes that messages and answers of other instances may hold together.
@@ -354,15 +356,15 @@
 		c.tasks.Go(m.Run)
 	}
 	callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.bodies, c.clock, c.log.WithField("Subsystem", "requests"))
-	front := c.newFront(callers)
-	ready := &http.Server{Handler: http.HandlerFunc(c.serveReady), ReadHeaderTimeout: headerTimeout}
-	ops := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout}
-	listenerErrors := make(chan error, 3)
-	for address, server := range map[string]httpServer{
-		c.settings.FrontAddress: front, c.settings.ReadyAddress: ready, c.settings.MetricsAddress: ops,
-	} {
+	servers, err := c.openServers(callers)
+	if err != nil {
+		c.log.WithField("Error", err).Error("listener failed, the instance stops")
+		return err
+	}
+	listenerErrors := make(chan error, len(servers))
+	for _, server := range servers {
 		c.tasks.Go(func(context.Context) {
-			if err := listenAndServe(server, address); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
 				listenerErrors <- err
 			}
 		})
@@ -372,9 +374,9 @@
 	case err = <-listenerErrors:
 		c.log.WithField("Error", err).Error("listener failed, the instance stops")
 	case <-ctx.Done():
-		c.drain(callers, front)
+		c.drain(callers, servers[0].httpServer)
 	}
-	for _, server := range []httpServer{front, ready, ops} {
+	for _, server := range servers {
 		_ = server.Close() // The grace time is over for whatever is still running.
 	}
 	c.log.Info("instance stopped")
--- a/conductor/drain_test.go
+++ b/conductor/drain_test.go
@@ -66,7 +66,7 @@
 	}
 	callers := forwarder.New(forwarder.HeaderNames{RequestID: "Id"}, nil, c, c.bodies, time.Now, c.log)
 	c.settings.PipelinedRequests, c.clock = pipelined, time.Now
-	front := c.newFront(callers)
+	front := c.newFront(callers, callers)
 	go func() { _ = front.Serve(slowListener{listener}) }()
 	stopped := make(chan struct{})
 	var cut, answered sync.Map
--- a/conductor/front.go
+++ b/conductor/front.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericlift/turmericlift/acceptor"
 	"github.com/turmericlift/turmericlift/forwarder"
 	"github.com/turmericlift/turmericlift/pipeliner"
 )
@@ -18,27 +19,23 @@
 	Close() error
 }
 
-// newFront returns the server of callers' connections.
-func (c *Conductor) newFront(callers *forwarder.Forwarder) httpServer {
+// newFront returns the server of callers' connections. handler serves their requests; it is callers, or wraps it.
+func (c *Conductor) newFront(callers *forwarder.Forwarder, handler http.Handler) httpServer {
 	if !c.settings.PipelinedRequests {
 		return &http.Server{
-			Handler:           callers,
+			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
-			ConnContext: forwarder.WithCallerConn,
+			ConnContext: callerContext,
 		}
 	}
 	return pipeliner.New(pipeliner.Settings{
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, MaxHeldBytes: c.settings.AnswerMemory, RequestContext: forwarder.WithArrival,
-	}, callers, callers.IsIdempotent, newPipelineMetrics(c.scope), c.clock, c.log.WithField("Subsystem", "connections"))
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, MaxHeldBytes: c.settings.AnswerMemory, RequestContext: forwarder.WithArrival, ConnContext: acceptor.WithConn,
+	}, handler, callers.IsIdempotent, newPipelineMetrics(c.scope), c.clock, c.log.WithField("Subsystem", "connections"))
 }
 
-// listenAndServe serves the connections to an address until the server is shut down or closed, or the listener fails.
-func listenAndServe(server httpServer, address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	return server.Serve(l)
+// callerContext returns the context for the requests of a caller's connection to a server of net/http.
+func callerContext(ctx context.Context, c net.Conn) context.Context {
+	return acceptor.WithConn(forwarder.WithCallerConn(ctx, c), c)
 }
 
 // depthBuckets are the bounds of the histogram of the requests under way on a connection.
--- a/conductor/stop_test.go
+++ b/conductor/stop_test.go
@@ -112,7 +112,7 @@
 			c.mu.Unlock()
 			callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.bodies, c.clock, c.log)
 			c.settings.PipelinedRequests = pipelined
-			front := c.newFront(callers)
+			front := c.newFront(callers, callers)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -92,7 +92,11 @@
 			"The states of the zones are one object, `" + controller.ZonesName + "`.\n\n" + configurer.MarkdownTable(flagName) +
 			"\nOn the users' platform (`turmericlift entry`) the memory of requests follows from `memory_mb` of the settings file, 512 MiB if it is not there: " +
 			"the bodies of callers' requests hold at most 0.35 of it together, messages and answers of other instances on streams 0.1, answers that wait for others of their connection 0.05. Three quarters of each may go to what is larger than 64 KiB. " +
-			"A body that does not fit is refused with 503 and the code MemoryFull. Where `terms.contracts` lists `pressure`, package `pipeliner` serves callers' connections and runs their pipelined requests at once.\n",
+			"A body that does not fit is refused with 503 and the code MemoryFull. The heads of requests use at most 0.08, three times their text and 512 bytes a field. " +
+			"Callers have at most 0.2 of it / 32 KiB connections, and at most half of `max_fds` less 96 (without `max_fds`, of the process's limit). At most 0.1 of it / 96 KiB of them may wait for callers that do not read. " +
+			"The limits of the configuration bound a head (`max_header_bytes`, 4 KiB more are allowed), a body (`max_body_bytes`) and the time without further bytes of a body (`header_timeout_s`). " +
+			"The addresses for readiness and metrics have 24 connections each. No client within these limits meets a bound in calm: docs/design/misbehaving-clients.md says why for each. `memory_mb` and `max_fds` below 0 are errors. " +
+			"Where `terms.contracts` lists `pressure`, package `pipeliner` serves callers' connections and runs their pipelined requests at once.\n",
 		"COMMANDS": "# Operators' commands\n\nGenerated from the code; `go test ./operator -update` renews it.\n\n" + CommandTable(),
 	}
 	for name, text := range pages {
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -60,6 +60,9 @@
 		c.remote = a.String()
 	}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	if annotate := s.settings.ConnContext; annotate != nil {
+		c.ctx = annotate(c.ctx, rwc)
+	}
 	c.moved.L = &c.mu
 	c.in = input{rwc: rwc, clock: s.clock, timeout: s.settings.HeaderTimeout, left: c.leave}
 	c.reader = readers.Get().(*bufio.Reader)
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -62,6 +62,8 @@
 	MaxHeaderBytes int
 	// MaxHeldBytes bounds what is held of all answers that wait for others on their connections, in bytes.
 	MaxHeldBytes int64
+	// ConnContext returns the context of a connection's requests; nil if there is nothing to add.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 	// RequestContext returns the context of a request whose first byte arrived at a time.
 	RequestContext func(ctx context.Context, arrived time.Time) context.Context
 }
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -44,6 +44,9 @@
 // instanceMemoryMB is the memory limit in the settings of a process.
 const instanceMemoryMB = 256
 
+// instanceMaxFDs is the limit on file descriptors there.
+const instanceMaxFDs = 1024
+
 // newInstance returns an instance without a process and without links. The processes'
 // settings and logs go to folder.
 func newInstance(number int, program, folder string) (*instance, error) {
@@ -56,7 +59,7 @@
 		number: number, program: program, folder: folder,
 		settings: platform.Settings{
 			Instance: identifier.Instance(fmt.Sprintf("entry-%d", number)), Zone: zone,
-			IP: netip.MustParseAddr("127.0.0.1"), MemoryMB: instanceMemoryMB,
+			IP: netip.MustParseAddr("127.0.0.1"), MemoryMB: instanceMemoryMB, MaxFDs: instanceMaxFDs,
 			PeerPort: min(ports[0], ports[1]), MetricsPort: max(ports[0], ports[1]),
 			FrontAddress: fmt.Sprintf("127.0.0.1:%d", ports[2]), ReadyAddress: fmt.Sprintf("127.0.0.1:%d", ports[3]),
 			Heartbeat: heartbeatInterval, Bounds: bounds,
