conductor: the quotas at the start of an installation are held for as long as they are renewed

Cause: the instance that has all quotas at the first start of an installation had them for 20 s.

Change: the instance renews its term of 4 s by conditional writes. Others use their parts only after a list, requested a term after they first saw a version, still has that version.

Tests: conductor.TestQuotaStart (parts of exactly 1 for 30 s, and of the other instance within 5 s of the loss), TestQuotaStartUnchecked.

--- a/conductor/quotas.go
+++ b/conductor/quotas.go
@@ -82,7 +82,7 @@
 // updateQuotaShare tells the quotas which share this instance has now. The caller holds the lock.
 func (c *Conductor) updateQuotaShare(now time.Time) {
 	sharers := c.apportioner.Sharers(now)
-	if c.quotas.start.holds(now) {
+	if c.quotas.start.holds() {
 		sharers = 0
 	}
 	c.quotas.rentier.SetShare(now, sharers, c.apportioner.IsSettled(now))
--- a/conductor/quotas_test.go
+++ b/conductor/quotas_test.go
@@ -43,7 +43,7 @@
 
 // TestQuotaStart guards against a start of the whole installation at which tenants get nothing until all records have settled,
 // and against two instances that use the same quota then: only the one that wrote the object has it, the others have no shares
-// until its time is over.
+// until it was not renewed for a term.
 func TestQuotaStart(t *testing.T) {
 	ctx := context.Background()
 	start := time.Unix(1000, 0)
@@ -66,26 +66,64 @@
 	if refusal := two.EnterQuota(tenant); refusal == nil || !refusal.Unknown {
 		t.Errorf("request at the instance without a part: %+v, want a refusal that says so", refusal)
 	}
-	for ; now.Sub(start) < 40*time.Second; now = now.Add(time.Second) {
-		sum := 0.0
-		for _, c := range []*Conductor{one, two} {
-			c.listShared(ctx)
-			c.register(ctx)
-			c.claimQuotas(ctx)
-			sum += partOf(c, now)
+	lostAt := start.Add(30 * time.Second) // The one with the quotas is cut off from the store then, and ends 6 s later.
+	for ; now.Sub(start) < 45*time.Second; now = now.Add(500 * time.Millisecond) {
+		sum := partOf(one, now) + partOf(two, now)
+		if now.Sub(lostAt) < 0 {
+			one.listShared(ctx)
+			one.register(ctx)
+			one.claimQuotas(ctx)
+		} else if now.Equal(lostAt) {
+			one.store = noStore{}
 		}
-		switch passed := now.Sub(start); {
+		two.listShared(ctx)
+		two.register(ctx)
+		two.claimQuotas(ctx)
+		switch {
 		case sum > 1:
-			t.Fatalf("parts of %.2f in use after %s", sum, passed)
-		case passed < quotaStartTime && sum < 1, passed > quotaStartTime+2*time.Second && sum < 1:
-			t.Errorf("parts of only %.2f in use after %s", sum, passed)
+			t.Fatalf("parts of %.2f in use after %s", sum, now.Sub(start))
+		case now.Before(lostAt) && sum < 1:
+			t.Errorf("parts of only %.2f in use after %s, while one instance renews them", sum, now.Sub(start))
+		case now.Sub(lostAt) > 5*time.Second && partOf(two, now) < 0.5:
+			t.Errorf("the other instance has a part of %.2f, %s after the one with the quotas was lost", partOf(two, now), now.Sub(lostAt))
 		}
 	}
 	late, _ := newWithQuota(t, &now, "late", store)
 	late.listShared(ctx)
 	late.claimQuotas(ctx)
-	if late.quotas.start.holds(now) || partOf(late, now) != 0 {
-		t.Errorf("instance that starts later waits for the end of the start %t and has a part of %.2f; want false and 0", late.quotas.start.holds(now), partOf(late, now))
+	if part := partOf(late, now); part != 0 {
+		t.Errorf("instance that starts later has a part of %.2f before its record has settled", part)
+	}
+	now = now.Add(quotaStartWait)
+	late.listShared(ctx)
+	if late.quotas.start.holds() {
+		t.Error("instance that starts later waits for longer than a term")
+	}
+}
+
+// TestQuotaStartUnchecked guards against an instance that uses its share because it has not heard of a renewal: only a list
+// which was requested after the term shows that there was none.
+func TestQuotaStartUnchecked(t *testing.T) {
+	ctx := context.Background()
+	start := time.Unix(1000, 0)
+	now := start
+	store := modelStore{imitator.NewObjectStore()}
+	one, _ := newWithQuota(t, &now, "one", store)
+	two, _ := newWithQuota(t, &now, "two", store)
+	for _, c := range []*Conductor{one, two, one, two} {
+		c.listShared(ctx)
+		c.register(ctx)
+		c.claimQuotas(ctx)
+	}
+	two.store = noStore{}
+	for ; now.Sub(start) < 30*time.Second; now = now.Add(time.Second) {
+		one.listShared(ctx)
+		one.claimQuotas(ctx)
+		two.claimQuotas(ctx)
+		two.apportioner.RecordListTime(now) // Copies of other instances tell how old the list of the records is.
+		if part := partOf(two, now); part != 0 {
+			t.Fatalf("part of %.2f in use after %s, while the other instance has the quotas as a whole", part, now.Sub(start))
+		}
 	}
 }
 
