scheduler: an owner's test is used by the request that starts it

If CostAware, keys of an owner that had refused a request with 421 were not served any more: looking up an owner that has refused requests starts its test by one request, and the same request looked it up twice, so the second look-up said that the owner was being tested.

The owner is looked up once for a request in an event. TestTestedOwner fails without the change.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -63,9 +63,14 @@
 	}
 }
 
-// ownerOf returns the owner of a request's key. The server is nil if it cannot get the request now.
+// ownerOf returns the owner of a request's key. The server is nil if it cannot get the request now. The owner is looked up
+// once in an event: a look-up may start the test of an owner that has refused requests, and only the request for which it is
+// made may then be sent.
 func (s *Scheduler) ownerOf(now time.Time, r *PendingRequest) (registrar.Ownership, *server) {
-	own := s.owners.Owner(now, r.Service, r.Key)
+	if !r.queued.ownedAt.Equal(now) || r.queued.ownedAt.IsZero() {
+		r.queued.ownership, r.queued.ownedAt = s.owners.Owner(now, r.Service, r.Key), now
+	}
+	own := r.queued.ownership
 	sv := s.servers[own.Server]
 	if !own.Ready || sv == nil || sv.excluded && !now.Before(sv.ownsUntil) || sv.entry.Incarnation != own.Incarnation || r.Tried[own.Server] {
 		return own, nil
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/turmericlift/turmericlift/director"
+	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
 	"github.com/turmericlift/turmericlift/scheduler"
 )
 
@@ -198,3 +200,38 @@
 		t.Errorf("%d first tries and %d retries are sent, want about as many of both", sent[0], sent[1])
 	}
 }
+
+// testedOwner is an owner that has refused a request: each look-up that says that it is ready starts a test, and until that is
+// over the others say that it is not.
+type testedOwner struct{ testedUntil time.Time }
+
+func (o *testedOwner) Owner(now time.Time, _ identifier.Service, _ identifier.ShardKey) registrar.Ownership {
+	own := registrar.Ownership{Server: "x", Incarnation: 1, Ready: !now.Before(o.testedUntil), ReadyAt: o.testedUntil}
+	if own.Ready {
+		o.testedUntil = now.Add(100 * time.Millisecond)
+	}
+	return own
+}
+
+// TestTestedOwner guards against an owner that gets no more requests after it has refused one: the request for which the test
+// of the owner was started must be sent, whatever else is looked up for it.
+func TestTestedOwner(t *testing.T) {
+	for _, costAware := range []bool{false, true} {
+		s := scheduler.New(start.Add(-time.Minute), "a", &testedOwner{testedUntil: start.Add(50 * time.Millisecond)}, equalShares(1), scheduler.Options{CostAware: costAware})
+		s.SetServers([]scheduler.Candidate{candidate("x", "a", 4)})
+		r := waitingRequest(start, 0, time.Second, 5*time.Second)
+		r.Keyed = true
+		s.Enqueue(start, r)
+		for ms := 25; ms <= 200; ms += 25 {
+			s.Tick(start.Add(time.Duration(ms) * time.Millisecond))
+		}
+		select {
+		case d := <-r.Decided:
+			if d.Server.ID != "x" || d.Inputs.Owner.Server != "x" {
+				t.Errorf("CostAware=%t: request is sent to %q for owner %q, want x", costAware, d.Server.ID, d.Inputs.Owner.Server)
+			}
+		default:
+			t.Errorf("CostAware=%t: request is not sent to the owner that has refused another", costAware)
+		}
+	}
+}
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericlift/turmericlift/booker"
 	"github.com/turmericlift/turmericlift/identifier"
+	"github.com/turmericlift/turmericlift/registrar"
 )
 
 // lineKey identifies a line: the requests for one owner of keys, or for a pool if the server is empty.
@@ -40,6 +41,9 @@
 	group *group
 	index int // In the group's heap.
 	work  float64
+	// ownership is what was known of the owner of the request's key at ownedAt.
+	ownership registrar.Ownership
+	ownedAt   time.Time
 }
 
 const (
@@ -71,7 +75,7 @@
 		l.groups[n] = &group{rank: rank}
 	}
 	g := l.groups[n]
-	r.queued = queuedRequest{line: l, group: g, work: work}
+	r.queued.line, r.queued.group, r.queued.work = l, g, work
 	heap.Push(g.heapOf(r), r)
 	l.count++
 	g.work += work
@@ -92,7 +96,7 @@
 	if g.count() == 0 {
 		g.work, g.retryWork, g.skipped = 0, 0, 0
 	}
-	r.queued = queuedRequest{}
+	r.queued.line, r.queued.group, r.queued.work = nil, nil, 0
 }
 
 // order returns the groups that have requests, in the order in which these go.
