scheduler, conductor: owners of keys are not chosen by cost for now

Cause: with decisions by cost for owners of keys as well, reads for hot keys were refused more often than before.

Change: Options.Owners, off, extends CostAware to requests for keys.

--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -65,11 +65,7 @@
 			counter = allocator.NewCounter(now)
 			c.keyCounters[r.Service] = counter
 		}
-		if c.costAware {
-			counter.AddWork(r.Key, c.scheduler.RelativeWork(r.Class))
-		} else {
-			counter.Add(r.Key)
-		}
+		counter.AddWork(r.Key, c.scheduler.KeyWork(r.Class))
 	}
 	c.scheduler.Enqueue(now, r)
 	c.mu.Unlock()
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -36,7 +36,6 @@
 func (s *Scheduler) enqueue(now time.Time, r *PendingRequest) {
 	key := lineKey{service: r.Service}
 	if r.Keyed {
-		s.keyed[r.Service] = true
 		own, sv := s.ownerOf(now, r)
 		if sv == nil {
 			s.enqueueWithoutOwner(now, r, own)
@@ -389,12 +388,17 @@
 	return n
 }
 
+// decidesByCost reports whether decisions on requests follow estimates; keyed says whether they have keys.
+func (s *Scheduler) decidesByCost(keyed bool) bool {
+	return s.options.CostAware && (!keyed || s.options.Owners)
+}
+
 // isKeyed reports whether requests for a service have keys, by those that have arrived.
 func (s *Scheduler) isKeyed(service identifier.Service) bool { return s.keyed[service] }
 
 // decideFor delivers the decisions that become possible by what was learned of a server.
 func (s *Scheduler) decideFor(now time.Time, sv *server) {
-	if s.options.CostAware {
+	if s.decidesByCost(s.isKeyed(sv.entry.Service)) {
 		s.serveServer(now, sv)
 		return
 	}
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -13,7 +13,7 @@
 
 // costAware returns a cost-aware Scheduler with one server of one slot, which takes two requests at a time.
 func costAware() *scheduler.Scheduler {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{CostAware: true})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{CostAware: true, Owners: true})
 	s.SetServers([]scheduler.Candidate{candidate("x", "a", 1)})
 	return s
 }
--- a/scheduler/enable.go
+++ b/scheduler/enable.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/turmericlift/turmericlift/identifier"
 )
 
 // EnableCostAware makes decisions follow costs from now on (Options.CostAware). Requests that wait keep waiting; those that
@@ -16,14 +14,15 @@
 	for service := range s.pools {
 		s.updateSubset(service)
 	}
-	queues := s.queues
-	s.queues, s.waiting = map[identifier.Service][]*PendingRequest{}, map[identifier.Service]map[identifier.BackendServer]int{}
-	for _, sv := range s.servers {
-		sv.waiting = 0
-	}
-	for _, queue := range queues {
-		for _, r := range queue {
-			s.enqueue(now, r)
+	for service, queue := range s.queues {
+		if s.decidesByCost(s.isKeyed(service)) {
+			before := s.waiting[service]
+			delete(s.waiting, service)
+			delete(s.queues, service)
+			s.recordWaiting(service, before)
+			for _, r := range queue {
+				s.enqueue(now, r)
+			}
 		}
 	}
 }
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -225,8 +225,12 @@
 // maxRelativeWork bounds RelativeWork and its inverse.
 const maxRelativeWork = 4
 
-// RelativeWork returns the estimated work of requests of a class, as a multiple of the mean of their service.
-func (s *Scheduler) RelativeWork(c estimator.Class) float64 {
+// KeyWork returns what a request of a class for a key counts in plans: its estimated work, as a multiple of the mean of its
+// service, or 1 if decisions on such requests do not follow costs.
+func (s *Scheduler) KeyWork(c estimator.Class) float64 {
+	if !s.decidesByCost(true) {
+		return 1
+	}
 	relative := s.estimates.work.Estimate(c).Mean() / s.estimates.work.Service(c.Service).Mean()
 	return min(max(relative, 1.0/maxRelativeWork), maxRelativeWork)
 }
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -78,4 +78,6 @@
 	// CostAware makes decisions follow estimates of the work of requests, the speed of servers and the loads of all
 	// instances, each with its age.
 	CostAware bool
+	// Owners extends that to requests for keys, which only the owners of the keys can run.
+	Owners bool
 }
--- a/scheduler/plans_test.go
+++ b/scheduler/plans_test.go
@@ -12,7 +12,7 @@
 // TestServiceTimes guards against plans that give a slow server as many keys as a fast one, that take a server for slow whose
 // machine is slow for a moment, and that weigh keys with costly requests like others.
 func TestServiceTimes(t *testing.T) {
-	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{CostAware: true})
+	s := scheduler.New(start.Add(-time.Minute), "a", fixedOwner{}, equalShares(1), scheduler.Options{CostAware: true, Owners: true})
 	s.SetServers([]scheduler.Candidate{candidate("fast", "a", 4), candidate("slow", "a", 4), candidate("noisy", "a", 4)})
 	latency := map[identifier.BackendServer]time.Duration{"fast": 60 * time.Millisecond, "slow": 150 * time.Millisecond, "noisy": 180 * time.Millisecond}
 	slowness := map[identifier.BackendServer]float64{"fast": 1, "slow": 1, "noisy": 3}
@@ -40,7 +40,7 @@
 	if ratio := noisy / fast; ratio < 0.6 || ratio > 1.6 {
 		t.Errorf("service times are %.0f and %.0f ms at servers of the same speed, of which one has a noisy neighbour", fast, noisy)
 	}
-	if ratio := s.RelativeWork(costly) / s.RelativeWork(cheap); ratio < 2 || ratio > 4 {
+	if ratio := s.KeyWork(costly) / s.KeyWork(cheap); ratio < 2 || ratio > 4 {
 		t.Errorf("requests for one key count %.1f times as much as those for another, want 3", ratio)
 	}
 }
--- a/scheduler/pools_test.go
+++ b/scheduler/pools_test.go
@@ -32,7 +32,7 @@
 			t.Run(fmt.Sprintf("%dInstances/Load%.2f", instances, load), func(t *testing.T) {
 				t.Parallel()
 				before := total(poolTrial(instances, load, scheduler.Options{}).run())
-				after := total(poolTrial(instances, load, scheduler.Options{CostAware: true}).run())
+				after := total(poolTrial(instances, load, scheduler.Options{CostAware: true, Owners: true}).run())
 				t.Logf("%2d instances, load %.2f: mean wait %4.0f -> %4.0f ms, 0.99 quantile %4.0f -> %4.0f ms, not in time %.3f -> %.3f, lost %.3f -> %.3f, refused %.3f -> %.3f, other zones %.2f -> %.2f",
 					instances, load, before.meanWait(), after.meanWait(), before.waitQuantile(0.99), after.waitQuantile(0.99), before.notInTime(), after.notInTime(),
 					share(before.lost, before), share(after.lost, after), share(before.refused+before.refusedTwice, before), share(after.refused+after.refusedTwice, after),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -133,7 +133,10 @@
 
 // Enqueue adds a request to the queue of its service and delivers all decisions of that queue that can be made now.
 func (s *Scheduler) Enqueue(now time.Time, r *PendingRequest) {
-	if s.options.CostAware {
+	if r.Keyed {
+		s.keyed[r.Service] = true
+	}
+	if s.decidesByCost(r.Keyed) {
 		s.enqueue(now, r)
 		return
 	}
@@ -144,7 +147,7 @@
 // Cancel removes a request from its queue without a decision. It does nothing if the request is not queued any more:
 // its decision is in Decided then.
 func (s *Scheduler) Cancel(r *PendingRequest) {
-	if s.options.CostAware {
+	if s.decidesByCost(r.Keyed) {
 		s.cancel(r)
 		return
 	}
@@ -162,7 +165,6 @@
 func (s *Scheduler) Tick(now time.Time) {
 	if s.options.CostAware {
 		s.sweep(now)
-		return
 	}
 	for service := range s.queues {
 		s.decideQueue(now, service)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -55,8 +55,8 @@
 // TestScriptsCostAware runs all other scripts with a cost-aware Scheduler. It guards against rules that hold in both cases and
 // that one of them omits.
 func TestScriptsCostAware(t *testing.T) {
-	runScripts(t, "_fixtures/*.txt", scheduler.Options{CostAware: true})
-	runScripts(t, "_fixtures/retryafter/*.txt", scheduler.Options{CostAware: true})
+	runScripts(t, "_fixtures/*.txt", scheduler.Options{CostAware: true, Owners: true})
+	runScripts(t, "_fixtures/retryafter/*.txt", scheduler.Options{CostAware: true, Owners: true})
 }
 
 // runScripts runs the scripts whose names match a pattern.
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -135,7 +135,7 @@
 
 // peerLoadAt returns the estimated number of other instances' requests at a server.
 func (s *Scheduler) peerLoadAt(now time.Time, sv *server) float64 {
-	if s.options.CostAware {
+	if s.decidesByCost(s.isKeyed(sv.entry.Service)) {
 		return s.expectedPeerLoad(now, sv).total()
 	}
 	return sv.otherLoad(now)
@@ -253,7 +253,7 @@
 	if !ok {
 		return 0, false
 	}
-	if s.options.CostAware {
+	if s.decidesByCost(s.isKeyed(sv.entry.Service)) {
 		return s.estimates.work.Service(sv.entry.Service).Mean() * s.estimates.work.Slowdown(sv.entry.Service, id), true
 	}
 	return sv.serviceTime, true
