--- a/conductor/calls.go
+++ b/conductor/calls.go
@@ -19,6 +19,8 @@
 	reasonVerify storeCallReason = "Verify" // A list verifies that connections lead to the listed servers.
 	reasonShared storeCallReason = "Shared" // Shared objects are listed before or after a decision on them.
 	reasonWrite  storeCallReason = "Write"
+	// reasonEvidence: a watch that hardly waits shows whether the configuration is current.
+	reasonEvidence storeCallReason = "Evidence"
 )
 
 // countedStore counts the calls to the store in the metric StoreCalls, by kind, call and reason.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -3,21 +3,23 @@
 // ownership (custodian) and on routing (scheduler), and the connections to backend servers and
 // other instances.
 //
-// Start with New and Conductor.Run in conductor.go. view.go decodes the mirrored objects, freshness.go
-// tracks how old what it shows may be, and leaving.go what servers say of themselves in answers.
-// front.go chooses the server of callers' connections. requests.go serves their requests (it implements forwarder.Core), planning.go plans
-// allocations, granting.go sends grants and releases to backend servers, rosters.go writes the shared
-// objects, and records.go keeps the records of the instances among which bounds are divided. quotas.go
-// keeps the tenants' quotas, and quota_start.go those of an installation that starts. evidence.go
-// tracks how old the configuration may be, for the API keys that it may have lost. listeners.go
-// bounds what callers' connections use. peers.go
-// exchanges states with other instances, copies.go copies of objects, and outage.go tracks outages of
-// the platform's store, and eras.go acts when the store came back from a copy.
+// Start with New in conductor.go and run in serving.go; settings.go has what an instance is given.
+//
+//   - Callers: front.go chooses the server of their connections, which listeners.go bounds; requests.go serves their requests
+//     (it implements forwarder.Core); cost.go decides whether they are sent by what they cost. quotas.go keeps the tenants'
+//     quotas, quota_start.go those of an installation that starts, and evidence.go tracks how old the configuration may be,
+//     for the API keys that it may have lost.
+//   - Backend servers: view.go decodes the mirrored objects, freshness.go tracks how old what it shows may be, and leaving.go
+//     what servers say of themselves in answers. planning.go plans allocations, granting.go sends grants and releases, and
+//     rosters.go writes the shared objects.
+//   - Other instances: peers.go exchanges states, writes.go announces what was written, copies.go copies objects, delegation.go
+//     lets them take the place of calls to the store, and records.go keeps the records among which bounds are divided.
+//   - The platform's store: calls.go counts the calls, outage.go tracks outages, and eras.go acts when the store came back
+//     from a copy.
 package conductor
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -30,7 +32,6 @@
 	"github.com/turmericlift/turmericlift/custodian"
 	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
-	"github.com/turmericlift/turmericlift/forwarder"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/leaser"
 	"github.com/turmericlift/turmericlift/limiter"
@@ -45,77 +46,6 @@
 	"github.com/turmericlift/turmericlift/transporter"
 )
 
-// Kinds names the kinds of the platform's objects that an instance reads. The last kind is that of
-// the shared objects, which only instances write: members, rosters and allocations. ConfigObject is
-// the name of the one object of kind Config that holds the routing configuration.
-type Kinds struct {
-	Servers, Config, Evacuations, Shared storer.ObjectKind
-	ConfigObject                         string
-}
-
-// Codec translates the platform's objects and orders.
-type Codec struct {
-	HeaderNames    forwarder.HeaderNames
-	HandoverHeader string // Header of the answer to a release that carries the handover text.
-	DecodeEntry    func(storer.Object) (registrar.Entry, error)
-	DecodeNotice   forwarder.NoticeDecoder
-	// DecodeColdRemaining decodes for how much longer a backend server is cold, from its answer to a health call.
-	DecodeColdRemaining func(http.Header) (time.Duration, error)
-	DecodeTable         func([]byte) (*director.Table, error)
-	EncodeOrder         func(leaser.Order) (path string, body []byte, err error)
-}
-
-// Settings configures one instance. RetryRatio is the number of retries allowed for each request
-// within RetryWindow, and RetryExtra is a number of retries allowed on top of them. ColdOvershoot
-// is a factor on the request rate that the routing configuration sets for cold backend servers, and
-// ColdSlack is a number of requests per second added to the result.
-type Settings struct {
-	Instance         identifier.Instance
-	Incarnation      identifier.Incarnation
-	Zone             identifier.Zone
-	Capacity         float64 // Relative capacity of the machine, used to choose the planner.
-	FrontAddress     string
-	ReadyAddress     string
-	PeerAddress      string
-	MetricsAddress   string
-	Seeds            []string      // Peer addresses at which other instances may run.
-	Callers          CallerLimits  // Bounds on callers' connections.
-	BodyMemory       int64         // Bytes that the bodies of callers' requests may hold together.
-	AnswerMemory     int64         // Bytes that answers may hold together which wait for others of their connections.
-	PeerMemory       int64         // Bytes that messages and answers of other instances may hold together.
-	Heartbeat        time.Duration // Time between two writes of a backend server's entry.
-	MaxLeaseDuration time.Duration // Longest lease duration of a grant that the platform allows.
-	GraceTime        time.Duration // Time from SIGTERM to SIGKILL.
-	DrainTime        time.Duration // Time from a server's first draining entry to its last allowed request.
-	EvacuationTime   time.Duration // Time from a zone's evacuation to the last allowed request to it.
-	RetryRatio       float64
-	RetryWindow      time.Duration
-	RetryExtra       float64
-	ColdOvershoot    float64
-	ColdSlack        float64
-	// PipelinedRequests says that callers send further requests before the first is answered, so that package pipeliner
-	// serves their connections.
-	PipelinedRequests bool
-	QuotaWindow       time.Duration // The sliding window in which requests of a tenant are counted.
-	QuotaOvershoot    float64       // The fraction by which the requests of a tenant may exceed its quota.
-	QuotaSlack        float64       // A number of requests that a tenant may have in addition in a window.
-	Bootstrap         bool          // The whole installation starts for the first time.
-	CostAware         bool          // Requests are sent and refused by estimates of their work; see scheduler.Options.
-	StrictRevoke      bool          // No request may run whose API key was removed longer ago than RevokeTime.
-	RevokeTime        time.Duration
-}
-
-// Store is the client of the platform's store. Put writes an object if its present version is
-// expected; it returns the new version, or a *storer.ConflictError if the version differs.
-type Store interface {
-	mirrorer.Platform
-	Put(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version, data []byte) (identifier.Version, error)
-	// Delete removes an object if its present version is expected; its errors are those of Put.
-	Delete(ctx context.Context, kind storer.ObjectKind, name string, expected identifier.Version) error
-	// Era returns the highest era that an answer has stated; 0 if none did.
-	Era() identifier.Era
-}
-
 const (
 	// grantLeaseDuration is the lease duration of grants. It spans three renewals, so that one
 	// lost renewal does no harm, and it is short enough that the keys of a dead server are served
@@ -338,95 +268,6 @@
 	c.done <- err
 }
 
-// run starts the loops and listeners and waits until ctx ends or a listener fails.
-func (c *Conductor) run(ctx context.Context) error {
-	config, err := transporter.AnonymousTLSConfig(time.Now())
-	if err != nil {
-		return err
-	}
-	if c.transport, err = transporter.New(c.settings.PeerAddress, config, c, rationer.New(c.settings.PeerMemory)); err != nil {
-		return err
-	}
-	for _, loop := range []func(context.Context){
-		c.transport.Run, c.planLoop, c.grantLoop, c.sendLoop, c.tickLoop, c.verifyLoop, c.copyLoop, c.sweepLoop, c.quotaLoop, c.evidenceLoop,
-	} {
-		c.tasks.Go(loop)
-	}
-	for _, m := range c.mirrors {
-		c.tasks.Go(m.Run)
-	}
-	callers := forwarder.New(c.codec.HeaderNames, c.codec.DecodeNotice, c, c.bodies, c.clock, c.log.WithField("Subsystem", "requests"))
-	servers, err := c.openServers(callers)
-	if err != nil {
-		c.log.WithField("Error", err).Error("listener failed, the instance stops")
-		return err
-	}
-	listenerErrors := make(chan error, len(servers))
-	for _, server := range servers {
-		c.tasks.Go(func(context.Context) {
-			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
-				listenerErrors <- err
-			}
-		})
-	}
-	c.log.WithFields(logrus.Fields{"Zone": c.settings.Zone, "Incarnation": c.settings.Incarnation}).Info("instance started")
-	select {
-	case err = <-listenerErrors:
-		c.log.WithField("Error", err).Error("listener failed, the instance stops")
-	case <-ctx.Done():
-		c.drain(callers, servers[0].httpServer)
-	}
-	for _, server := range servers {
-		_ = server.Close() // The grace time is over for whatever is still running.
-	}
-	c.log.Info("instance stopped")
-	return err
-}
-
-const (
-	// headerTimeout bounds the time in which a caller sends its headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is the time after which a caller's idle connection is closed. It is longer than
-	// the idle time that routing configurations allow.
-	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the size of a caller's headers. The limit of the routing configuration
-	// is lower.
-	maxHeaderBytes = 64 << 10
-	// leaveTime is the time between the first readiness check that fails and the end of new
-	// connections. The load balancer checks every second and acts on the second failure. Besides, it is longer than
-	// forwarder.CallerKeepAlive by the time that a request or an answer may be under way, so that no caller sends a request
-	// over a connection that is closed as idle.
-	leaveTime = forwarder.CallerKeepAlive + 600*time.Millisecond
-	// exitReserve is held back from the time that the platform gives a process to exit.
-	exitReserve = 400 * time.Millisecond
-	// lastAnswersTime is the time before the end of the grace time in which requests without an answer are ended and told so.
-	lastAnswersTime = 150 * time.Millisecond
-)
-
-// drain leaves the rosters, stops accepting connections and waits for running requests, all within
-// the grace time.
-func (c *Conductor) drain(callers *forwarder.Forwarder, front httpServer) {
-	remaining := c.settings.GraceTime - exitReserve
-	end := time.Now().Add(remaining)
-	now := c.clock()
-	callers.Leave(forwarder.Departure{LateFrom: now.Add(c.settings.GraceTime / 2), End: now.Add(remaining - lastAnswersTime)})
-	c.mu.Lock()
-	c.leaving = true
-	c.ownership.SetEnvironment(c.environment())
-	c.mu.Unlock()
-	c.log.Info("leaving")
-	trigger(c.sendTrigger)
-	time.Sleep(min(leaveTime, time.Until(end)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
-		c.log.WithField("Error", err).Warning("requests were still running at the end of the grace time, they are cut off")
-	}
-	for time.Now().Before(end) && !c.onNoRoster() {
-		time.Sleep(tickInterval)
-	}
-}
-
 // trigger wakes the loop that receives from ch, without blocking. A loop that is already triggered
 // runs once.
 func trigger(ch chan struct{}) {
@@ -450,30 +291,3 @@
 		fn()
 	}
 }
-
-// serveReady answers the load balancer's readiness check: 200 if the instance serves requests, else
-// 503.
-func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if c.isReady() {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// isReady reports whether the instance accepts requests: it has a routing configuration, has known at
-// least one backend server, is not leaving, and does not refuse all requests with API keys.
-func (c *Conductor) isReady() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leaving || c.view.table == nil || c.refusesKeys(c.clock()) {
-		return false
-	}
-	if !c.wasReady {
-		c.wasReady = len(c.view.entries) > 0
-		if c.wasReady {
-			c.log.WithFields(logrus.Fields{"ConfigVersion": c.view.table.Version, "Servers": len(c.view.entries)}).Info("ready")
-		}
-	}
-	return c.wasReady
-}
--- a/conductor/copies.go
+++ b/conductor/copies.go
@@ -68,20 +68,7 @@
 	}
 	c.mu.Unlock()
 	for kind, m := range c.mirrors {
-		if revision, ok := req.Complete[kind]; ok && kind != c.kinds.Shared {
-			if d, changed := m.DeltaSince(revision); changed {
-				answer.Deltas = append(answer.Deltas, d)
-			}
-			continue
-		}
-		copied, _ := m.Snapshot()
-		if kind == c.kinds.Shared {
-			copied.Objects = c.withNewestAllocations(copied.Objects)
-			copied.Objects = slices.DeleteFunc(copied.Objects, func(o storer.Object) bool { return o.Version <= req.SharedVersions[o.Name] })
-		}
-		if kind == c.kinds.Shared && len(copied.Objects) > 0 || kind != c.kinds.Shared && copied.NewestVersion() > req.Revisions[kind] {
-			answer.Copies = append(answer.Copies, copied)
-		}
+		c.addCopy(&answer, req, kind, m)
 	}
 	c.mu.Lock()
 	answer.Confirmations, answer.StoreUp = c.ownership.Confirmations(c.clock()), c.ownership.StoreUp()
@@ -94,6 +81,26 @@
 	return reply
 }
 
+// addCopy adds what is newer in a mirror than the request says to the answer.
+func (c *Conductor) addCopy(answer *copyAnswer, req copyRequest, kind storer.ObjectKind, m *mirrorer.Mirror) {
+	if revision, ok := req.Complete[kind]; ok && kind != c.kinds.Shared {
+		if d, changed := m.DeltaSince(revision); changed {
+			answer.Deltas = append(answer.Deltas, d)
+		}
+		return
+	}
+	copied, _ := m.Snapshot()
+	isNew := copied.NewestVersion() > req.Revisions[kind]
+	if kind == c.kinds.Shared {
+		copied.Objects = c.withNewestAllocations(copied.Objects)
+		copied.Objects = slices.DeleteFunc(copied.Objects, func(o storer.Object) bool { return o.Version <= req.SharedVersions[o.Name] })
+		isNew = len(copied.Objects) > 0
+	}
+	if isNew {
+		answer.Copies = append(answer.Copies, copied)
+	}
+}
+
 // withNewestAllocations returns shared objects in which allocations that are known in a newer version, by deltas, replace
 // those of the store's last list.
 func (c *Conductor) withNewestAllocations(objects []storer.Object) []storer.Object {
--- a/conductor/evidence.go
+++ b/conductor/evidence.go
@@ -214,7 +214,7 @@
 	c.scope.Counter("EvidenceStoreCalls").Inc(1)
 	m := c.mirrors[c.kinds.Config]
 	askedAt, from := c.clock(), m.Revision()
-	events, err := c.store.Watch(ctx, c.kinds.Config, from, evidenceWatchWait)
+	events, err := c.calls(reasonEvidence).Watch(ctx, c.kinds.Config, from, evidenceWatchWait)
 	c.recordStoreCall(c.kinds.Config, err)
 	switch {
 	case errors.Is(err, storer.ErrHistoryGone), err == nil && len(events.Events) > 0:
