--- a/director/tenants.go
+++ b/director/tenants.go
@@ -52,22 +52,22 @@
 			return &InvalidTenantError{Row: row, Tenant: tenant.Name, Field: field, Value: value, Reason: reason}
 		}
 		if tenant.Name == "" {
-			return nil, invalid("name", `""`, "a tenant needs a name")
+			return nil, invalid("Name", `""`, "a tenant needs a name")
 		}
 		if out.tenants[tenant.Name] != nil {
-			return nil, invalid("name", fmt.Sprintf("%q", tenant.Name), "another tenant has it")
+			return nil, invalid("Name", fmt.Sprintf("%q", tenant.Name), "another tenant has it")
 		}
 		for _, f := range []struct {
 			name  string
 			value float64
-		}{{"rate_per_s", tenant.Rate}, {"burst", tenant.Burst}} {
+		}{{"Rate", tenant.Rate}, {"Burst", tenant.Burst}} {
 			if !(f.value >= 0) || math.IsInf(f.value, 0) { // Not a number is not >= 0 either.
 				return nil, invalid(f.name, fmt.Sprint(f.value), "a finite number of at least 0 is needed")
 			}
 		}
 		for n, digest := range tenant.Keys {
 			if other := out.byKey[digest]; other != nil {
-				return nil, invalid("api_keys", fmt.Sprintf("index %d", n), fmt.Sprintf("tenant %q has the same key", other.Name))
+				return nil, invalid("Keys", fmt.Sprintf("index %d", n), fmt.Sprintf("tenant %q has the same key", other.Name))
 			}
 			out.byKey[digest] = &tenant
 		}
