rentier, forwarder: a request that has not run gives its token back

Cause: each send counted against the tenant's quota, also where the server turned the request away.

Change: where it is proved that no server began to work on the request, its token returns to the instance's bucket, up to what the instance holds now.

Tests: rentier.TestReturn; forwarder.TestQuota counts the returned tokens.

--- a/conductor/quotas.go
+++ b/conductor/quotas.go
@@ -168,6 +168,18 @@
 	return quotaRefusal(rentier.OverQuota, c.quotas.rentier.Wait(now, t.Name))
 }
 
+// ReturnQuota implements forwarder.Core.
+func (c *Conductor) ReturnQuota(t *director.Tenant) {
+	if t == nil {
+		return
+	}
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateQuotaShare(now)
+	c.quotas.rentier.Return(now, t.Name)
+}
+
 // quotaLoop lends this instance's share of the quotas to the distributor and gets what this instance needs, in one call a
 // second, and in further ones while requests wait for a token.
 func (c *Conductor) quotaLoop(ctx context.Context) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	LeaveQuota(t *director.Tenant)
 	// TakeQuota counts a request that is about to be sent, unless the result is a refusal. It may wait for another instance.
 	TakeQuota(ctx context.Context, t *director.Tenant) *QuotaRefusal
+	// ReturnQuota takes back what TakeQuota counted, since it is proved that the request has not run.
+	ReturnQuota(t *director.Tenant)
 	// RecordOutcome records how a request ended that was assigned to a backend server.
 	RecordOutcome(e registrar.Entry, r scheduler.Report)
 	// RecordNotOwner records that a backend server does not own a key.
@@ -235,6 +237,7 @@
 		report.Notice = f.notice(req, e, answer)
 		return f.checkAnswer(req, e, answer, report)
 	case errors.As(err, &unsent):
+		f.core.ReturnQuota(req.tenant)
 		switch {
 		case ctx.Err() != nil:
 			report.Outcome = scheduler.Cancelled
@@ -323,6 +326,7 @@
 // must be sent again.
 func (f *Forwarder) checkRefusal(req *activeRequest, e registrar.Entry, a exchanger.Answer, report scheduler.Report) *result {
 	a.Close()
+	f.core.ReturnQuota(req.tenant)
 	report.Outcome = scheduler.Shed
 	if by := identifier.BackendServer(a.Header.Get(f.names.Server)); a.Status == http.StatusMisdirectedRequest && by != "" && by != e.ID {
 		f.core.RecordReplaced(e, by)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -44,6 +44,7 @@
 	quotaAtArrival *forwarder.QuotaRefusal
 	quotaSends     int
 	quotaLeft      int
+	quotaReturned  int
 }
 
 func (c *core) Table() *director.Table                                                  { return c.table }
@@ -62,6 +63,8 @@
 func (c *core) EnterQuota(*director.Tenant) *forwarder.QuotaRefusal { return c.quotaAtArrival }
 func (c *core) LeaveQuota(*director.Tenant)                         { c.quotaLeft++ }
 
+func (c *core) ReturnQuota(*director.Tenant) { c.quotaReturned++ }
+
 // TakeQuota refuses a request whose tenant has a quota after as many sends as quotaSends.
 func (c *core) TakeQuota(_ context.Context, t *director.Tenant) *forwarder.QuotaRefusal {
 	if t == nil || t.Rate == 0 || len(c.requests) < c.quotaSends {
--- a/forwarder/quota_test.go
+++ b/forwarder/quota_test.go
@@ -51,6 +51,10 @@
 			if c.core.quotaLeft != want {
 				t.Errorf("LeaveQuota called %d times, want %d", c.core.quotaLeft, want)
 			}
+			returned := map[string]int{"OverAfterUnsent": 1, "OverAfterShed": 1}[name] // A broken one may have run.
+			if c.core.quotaReturned != returned {
+				t.Errorf("ReturnQuota called %d times, want %d", c.core.quotaReturned, returned)
+			}
 		})
 	}
 }
--- a/rentier/service_test.go
+++ b/rentier/service_test.go
@@ -193,3 +193,40 @@
 		t.Errorf("the distributor had at most %.2f of the quotas", lent)
 	}
 }
+
+// TestReturn guards against tenants that lose their quota to servers that turn requests away, and against a returned token
+// that lets an instance send more than the part that it holds.
+func TestReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := rentier.New(now, rentier.Process{Instance: "one", Incarnation: 1}, rentier.DefaultTiming())
+	r.SetQuotas(now, []rentier.Quota{{Tenant: "a", Rate: 1, Capacity: 2}})
+	r.OwnWhole(now, now.Add(time.Hour))
+	now = now.Add(time.Minute)
+	take := func() (n int) {
+		for range 10 {
+			if v, _ := r.Take(now, "a"); v == rentier.Allowed {
+				n++
+			}
+		}
+		return n
+	}
+	if n := take(); n != 2 {
+		t.Fatalf("%d tokens in a full bucket, want 2", n)
+	}
+	r.Return(now, "a")
+	if n := take(); n != 1 {
+		t.Errorf("%d tokens after one was returned, want 1", n)
+	}
+	for range 5 {
+		r.Return(now, "a")
+	}
+	if n := take(); n != 2 {
+		t.Errorf("%d tokens after five were returned, want 2, the capacity", n)
+	}
+	r.Return(now, "unknown")
+	r.OwnWhole(now, now) // The part is gone.
+	r.Return(now, "a")
+	if n := take(); n != 0 {
+		t.Errorf("%d tokens at an instance without a part, want 0", n)
+	}
+}
--- a/rentier/verdict.go
+++ b/rentier/verdict.go
@@ -87,6 +87,17 @@
 	return r.refuse(now, a)
 }
 
+// Return gives back the token of a request that was counted and has not run: no backend server began to work on it. What does
+// not fit the capacity of what this instance holds now is lost.
+func (r *Rentier) Return(now time.Time, tenant identifier.Tenant) {
+	a := r.accounts[tenant]
+	if a == nil {
+		return
+	}
+	r.advanceOne(now, a)
+	a.bucket.tokens = min(a.bucket.tokens+1, r.part(a, now, now)*a.quota.Capacity)
+}
+
 // unknownSpare is the number of requests that may wait for tokens of the distributor while nothing is known of its tokens.
 const unknownSpare = 8
 
