rentier: grants have one length again, and calls to the distributor are regular

Cause: with shorter grants where loans end soon, and calls at once while the distributor's pool grows, more requests of tenants were refused than before.

--- a/rentier/distributor.go
+++ b/rentier/distributor.go
@@ -127,11 +127,10 @@
 		l.numbers = l.numbers[1:]
 	}
 	answer := Answer{From: d.self, Number: d.number, Pool: d.lent(now, now)}
-	length := d.grantTime(now)
-	secure := d.lent(now, now.Add(length))
+	secure := d.lent(now, now.Add(d.timing.Granted))
 	for _, w := range c.Wants {
 		if p := d.pools[w.Tenant]; p != nil && w.Rate >= 0 {
-			answer.Grants = append(answer.Grants, d.grant(now, c.From, p, d.quotas[w.Tenant], length, secure, w))
+			answer.Grants = append(answer.Grants, d.grant(now, c.From, p, d.quotas[w.Tenant], secure, w))
 		}
 	}
 	return answer
@@ -172,21 +171,6 @@
 	return min(sum, 1)
 }
 
-// grantTime returns the length of grants that are given now. It is shorter than usual if most of what is lent ends before.
-func (d *Distributor) grantTime(now time.Time) time.Duration {
-	present := d.lent(now, now)
-	for _, share := range []float64{1, 0.6, 0.3} {
-		length := time.Duration(share * float64(d.timing.Granted))
-		if d.lent(now, now.Add(length)) >= mostLent*present {
-			return length
-		}
-	}
-	return d.timing.Granted
-}
-
-// mostLent is the share of what is lent that must be there for the whole of a grant.
-const mostLent = 0.8
-
 // grantedAt returns the part of a quota that may be in use at a time by processes other than one.
 func (p *pool) grantedAt(now time.Time, except Process) float64 {
 	sum := 0.0
@@ -218,9 +202,9 @@
 	}
 }
 
-// grant grants a process a part of a tenant's quota and the tokens that it wants now. secure is what is lent for the
-// length of the grant.
-func (d *Distributor) grant(now time.Time, to Process, p *pool, q Quota, length time.Duration, secure float64, w Want) Grant {
+// grant grants a process a part of a tenant's quota and the tokens that it wants now. secure is what is lent for longer than
+// a grant.
+func (d *Distributor) grant(now time.Time, to Process, p *pool, q Quota, secure float64, w Want) Grant {
 	d.fill(now, p, q)
 	p.wants[to] = want{rate: w.Rate, at: now}
 	total := p.demand(now)
@@ -233,14 +217,11 @@
 		part = 0 // Its bucket would have no token when the next request comes.
 	}
 	if part > 0 {
-		p.granted[to] = append(p.granted[to], span{part: part, until: now.Add(length)})
+		p.granted[to] = append(p.granted[to], span{part: part, until: now.Add(d.timing.Granted)})
 	}
 	present := max(d.lent(now, now)-p.grantedAt(now, Process{}), 0)
 	p.bucket.advance(now, q, 0, present)
 	g := Grant{Tenant: w.Tenant, Part: part}
-	if length < d.timing.Granted {
-		g.ForMs = int64(float64(length.Milliseconds()) * (1 - clockMargin))
-	}
 	for g.Tokens < w.Tokens && p.bucket.take() {
 		g.Tokens++
 	}
--- a/rentier/message.go
+++ b/rentier/message.go
@@ -86,8 +86,7 @@
 type Grant struct {
 	_      struct{} `cbor:",toarray"`
 	Tenant identifier.Tenant
-	Part   float64 // The part of the quota.
-	ForMs  int64   // How long it may be used, from the sending of the call; 0 for Timing.Grant.
+	Part   float64 // The part of the quota, for Timing.Grant.
 	Tokens int     // Requests that may be sent at once.
 	Spare  int     // Tokens that the distributor has left.
 	WaitMs int64   // When the distributor may have a token again; 0 if it has some.
--- a/rentier/rentier.go
+++ b/rentier/rentier.go
@@ -63,8 +63,6 @@
 	from         Process
 	numberAt     time.Time // When the number was received.
 	answered     Answer
-	poolGrows    bool      // More was lent to the distributor than at the answer before.
-	renewAt      time.Time // When a short grant should be renewed; zero if there is none.
 	heardAt      time.Time // When the call of the last answer was sent.
 	countedAt    time.Time
 }
@@ -189,8 +187,6 @@
 }
 
 const (
-	// poolGrowth is the least growth of what is lent to the distributor for which it is called again at once.
-	poolGrowth = 0.02
 	// countTime is the time over which demand is counted.
 	countTime = 900 * time.Millisecond
 	// minDemand is the demand, in requests a second, that is worth stating.
@@ -246,8 +242,6 @@
 func (r *Rentier) Apply(now, composedAt time.Time, answer Answer) map[identifier.Tenant]int {
 	r.advance(now)
 	r.from, r.number, r.numberAt = answer.From, answer.Number, now
-	r.renewAt = time.Time{}
-	r.poolGrows = answer.Pool > r.answered.Pool+poolGrowth
 	r.answered, r.heardAt = answer, composedAt
 	tokens := map[identifier.Tenant]int{}
 	for _, a := range r.accounts {
@@ -261,7 +255,7 @@
 			continue
 		}
 		if a.from == answer.From || g.Part >= a.part || !now.Before(a.until) {
-			a.part, a.from, a.until = g.Part, answer.From, composedAt.Add(r.grantLength(composedAt, g))
+			a.part, a.from, a.until = g.Part, answer.From, composedAt.Add(r.timing.Grant)
 		}
 		a.spare, a.spareAt, a.emptyUntil = g.Spare, now, time.Time{}
 		if g.WaitMs > 0 {
@@ -275,22 +269,10 @@
 	return tokens
 }
 
-// grantLength returns for how long a grant may be used that answers a call composed at a time, and notes when a short one
-// should be renewed.
-func (r *Rentier) grantLength(composedAt time.Time, g Grant) time.Duration {
-	length := time.Duration(g.ForMs) * time.Millisecond
-	if g.ForMs <= 0 || length >= r.timing.Grant {
-		return r.timing.Grant
-	}
-	r.renewAt = composedAt.Add(length / 2)
-	return length
-}
-
 // IsCallDue reports whether the distributor should be called before the next regular call: it has given no number yet, which
-// the first loan needs, this instance's part is not lent, or others have begun to lend theirs, so that there is more to grant, or a
-// short grant ends soon.
+// the first loan needs, or this instance's part is not lent.
 func (r *Rentier) IsCallDue(now time.Time, distributor Process) bool {
-	return r.from != distributor || r.number == 0 || r.poolGrows || !r.renewAt.IsZero() && !now.Before(r.renewAt) || r.owned(now, now) > 0 && !now.Before(r.lentUntil)
+	return r.from != distributor || r.number == 0 || r.owned(now, now) > 0 && !now.Before(r.lentUntil)
 }
 
 // Holding describes what an instance holds of a tenant's quota, for operators.
