review: add a stand-in for requests within Retry-After, no case

Cause: what a pause is known from is dropped with an upstream's entry, which may lapse while it runs. Change: the stand-in plays it as retry-after; it takes no place among the cases.

--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -65,8 +65,21 @@
 	stop     chan struct{}
 	conns    map[net.Conn]bool
 	gone     bool
+	// silent makes the upstream write no entry, as if it were cut off from the store.
+	silent bool
+	// The upstream turns requests away until a time, and asks for none for retryAfter.
+	turnsAwayUntil time.Time
+	arrivals       []time.Time // Of requests that it turned away.
+	refusedAt      time.Time   // When it first did.
 }
 
+const (
+	// retryAfter is the time for which an upstream that turns requests away wants none.
+	retryAfter = 8 * time.Second
+	// rejectionTime is how long such an upstream takes to answer.
+	rejectionTime = 80 * time.Millisecond
+)
+
 // upstreamConn is a connection of an upstream.
 type upstreamConn struct {
 	net.Conn
@@ -101,7 +114,7 @@
 // register writes the entry of the upstream.
 func (u *upstream) register() {
 	u.mu.Lock()
-	if u.gone {
+	if u.gone || u.silent {
 		u.mu.Unlock()
 		return
 	}
@@ -365,6 +378,17 @@
 			return c.write(u.head("421 Misdirected Request", id, nil, hNotRun+": 1"))
 		}
 	}
+	if time.Now().Before(u.turnsAwayUntil) {
+		u.arrivals = append(u.arrivals, time.Now())
+		u.mu.Unlock()
+		time.Sleep(rejectionTime)
+		u.mu.Lock()
+		if u.refusedAt.IsZero() {
+			u.refusedAt = time.Now()
+		}
+		u.mu.Unlock()
+		return c.write(u.head("503 Service Unavailable", id, nil, hNotRun+": 1", fmt.Sprintf("Retry-After: %g", retryAfter.Seconds())))
+	}
 	if u.running >= u.slots {
 		u.mu.Unlock()
 		return c.write(u.head("503 Service Unavailable", id, nil, hNotRun+": 1"))
