--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -65,7 +65,6 @@
 	name, ip, zone string
 	front, ready   string
 	settings       string
-	gate           *gate
 	cmd            *exec.Cmd
 	log            *os.File
 	exited         chan error
@@ -118,11 +117,6 @@
 			ready: fmt.Sprintf("%s:%d", ips[n], in.ports.ready), settings: filepath.Join(dir, fmt.Sprintf("local-%d.toml", n)),
 		})
 	}
-	for _, i := range in.instances {
-		if i.gate, err = newGate(in.st); err != nil {
-			return nil, err
-		}
-	}
 	return in, nil
 }
 
@@ -196,7 +190,7 @@
 func (in *installation) startInstance(i *instance) error {
 	seed := fmt.Sprintf("%s:%d", in.instances[0].ip, in.ports.control)
 	text := fmt.Sprintf(settingsText, i.name, i.ip, i.zone, in.memoryMB, in.maxFDs, in.ports.peer, in.ports.metrics, seed, i.front, i.ready,
-		i.ip, in.ports.control, i.gate.listener.Addr().String(), in.contracts)
+		i.ip, in.ports.control, in.st.listener.Addr().String(), in.contracts)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -260,7 +254,6 @@
 			case <-time.After(2 * time.Second):
 			}
 			_ = i.log.Close()
-			_ = i.gate.server.Close()
 		}
 	}
 	for _, u := range in.upstreams {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -1,15 +1,9 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"io"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -47,120 +41,6 @@
 	history  []change
 	listener net.Listener
 	server   *http.Server
-	first    uint64 // The first revision of which the history is kept.
-	era      int    // 0: the store states none.
-	copied   *storeCopy
-}
-
-// storeCopy is a copy of the store from which it can come back.
-type storeCopy struct {
-	revision uint64
-	kinds    map[string]map[string]object
-}
-
-// gate is the way of one machine to the store.
-type gate struct {
-	st       *store
-	listener net.Listener
-	server   *http.Server
-	mu       sync.Mutex
-	mode     string  // Empty: the store serves the machine. Else busy, many, silent, reset.
-	lose     float64 // The share of the writes whose answer is lost.
-	late     bool    // These are done 1 to 6 s later.
-	conns    map[net.Conn]bool
-}
-
-func newGate(st *store) (*gate, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	g := &gate{st: st, listener: l, conns: map[net.Conn]bool{}}
-	g.server = &http.Server{Handler: g, ConnState: func(c net.Conn, state http.ConnState) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if state == http.StateClosed || state == http.StateHijacked {
-			delete(g.conns, c)
-		} else {
-			g.conns[c] = true
-		}
-	}}
-	go func() { _ = g.server.Serve(l) }()
-	return g, nil
-}
-
-// set changes the mode. The connections are reset if there is one, so that no watch passes it.
-func (g *gate) set(mode string) {
-	g.mu.Lock()
-	g.mode = mode
-	conns := g.conns
-	g.conns = map[net.Conn]bool{}
-	g.mu.Unlock()
-	if mode == "" {
-		return
-	}
-	for c := range conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-}
-
-// ServeHTTP implements http.Handler.
-func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.mu.Lock()
-	mode, lose, late := g.mode, g.lose, g.late
-	g.mu.Unlock()
-	switch mode {
-	case "busy":
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case "many":
-		w.WriteHeader(http.StatusTooManyRequests)
-		return
-	case "silent":
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	case "reset":
-		panic(http.ErrAbortHandler)
-	}
-	if r.Method != http.MethodGet && rand.Float64() < lose {
-		if late {
-			body, _ := io.ReadAll(r.Body)
-			again := r.Clone(context.Background())
-			again.Body = io.NopCloser(bytes.NewReader(body))
-			time.AfterFunc(time.Duration(1000+rand.IntN(5000))*time.Millisecond, func() { g.st.ServeHTTP(httptest.NewRecorder(), again) })
-		} else {
-			g.st.ServeHTTP(httptest.NewRecorder(), r)
-		}
-		panic(http.ErrAbortHandler)
-	}
-	g.st.ServeHTTP(w, r)
-}
-
-// keep takes a copy of the store.
-func (s *store) keep() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := &storeCopy{revision: s.revision, kinds: map[string]map[string]object{}}
-	for kind, objects := range s.kinds {
-		c.kinds[kind] = maps.Clone(objects)
-	}
-	s.copied = c
-}
-
-// restore brings the store back from the copy, in the next era.
-func (s *store) restore() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.era++
-	s.revision, s.kinds, s.history = s.copied.revision, map[string]map[string]object{}, nil
-	s.first = s.revision
-	for kind, objects := range s.copied.kinds {
-		s.kinds[kind] = maps.Clone(objects)
-	}
-	s.moved.Broadcast()
 }
 
 func newStore(address string) (*store, error) {
@@ -233,11 +113,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	if s.era > 0 {
-		w.Header().Set("Store-Era", strconv.Itoa(s.era))
-	}
-	s.mu.Unlock()
 	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind, name := path[0], ""
 	if len(path) > 1 {
@@ -297,13 +172,7 @@
 	}
 	s.mu.Lock()
 	events := []event{}
-	era := s.era
 	for {
-		if from > s.revision || from < s.first || s.era != era {
-			s.mu.Unlock()
-			answer(w, http.StatusGone, map[string]any{})
-			return
-		}
 		for _, c := range s.history {
 			if c.kind == kind && c.revision > from {
 				events = append(events, event{c.deleted, c.object})
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,16 +19,14 @@
 	from, to int
 	fence    uint64
 	until    time.Time
-	late     bool // The grant was taken late.
 }
 
 // run is one request that an upstream has begun to run.
 type run struct {
-	id         string
-	key        int
-	begun      time.Time
-	ended      time.Time // Zero while it runs.
-	connection *upstreamConn
+	id    string
+	key   int
+	begun time.Time
+	ended time.Time // Zero while it runs.
 }
 
 // upstream is a stand-in of one process of an upstream. Each connection serves one request at a time.
@@ -48,7 +45,6 @@
 	// next answer on the connection is expected, which is that of a release of keys on which it is at work.
 	repeatOrders atomic.Int64
 	orders       atomic.Int64 // Answers to orders so far.
-	lateShare    float64      // The share of the orders that get no answer and are carried out 2 to 12 s later.
 	quiet        bool         // Its runs are not recorded one by one.
 	born         int64
 
@@ -86,8 +82,6 @@
 	u      *upstream
 	reader *bufio.Reader
 	last   []byte // The last answer to an order.
-	served int
-	closed chan struct{}
 }
 
 func newUpstream(rec *recorder, st *store, id, service, zone, address string, slots int, sharded bool) (*upstream, error) {
@@ -173,7 +167,7 @@
 		u.mu.Lock()
 		u.conns[c] = true
 		u.mu.Unlock()
-		uc := &upstreamConn{Conn: c, u: u, reader: bufio.NewReader(c), closed: make(chan struct{})}
+		uc := &upstreamConn{Conn: c, u: u, reader: bufio.NewReader(c)}
 		go func() {
 			uc.serve()
 			_ = c.Close()
@@ -203,7 +197,6 @@
 		default:
 			ok = c.serveRequest(r)
 		}
-		c.served++
 		if !ok {
 			return
 		}
@@ -256,19 +249,8 @@
 			return false
 		}
 	}
-	if u.lateShare > 0 && rand.Float64() < u.lateShare {
-		arrived := time.Now()
-		time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() {
-			if r.URL.Path == "/grant" {
-				u.grant(arrived, o.From, o.To, o.Fence, time.Duration(o.Hold*float64(time.Second)))
-			} else {
-				u.release(o.From, o.To)
-			}
-		})
-		return false
-	}
 	if r.URL.Path == "/grant" {
-		if !u.grant(time.Now(), o.From, o.To, o.Fence, time.Duration(o.Hold*float64(time.Second))) {
+		if !u.grant(o.From, o.To, o.Fence, time.Duration(o.Hold*float64(time.Second))) {
 			answer = u.head("409 Conflict", "", nil)
 		}
 	} else {
@@ -281,7 +263,7 @@
 }
 
 // grant takes keys, unless a higher fence was seen on one of them.
-func (u *upstream) grant(arrived time.Time, from, to int, fence uint64, hold time.Duration) bool {
+func (u *upstream) grant(from, to int, fence uint64, hold time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for k := from; k <= to; k++ {
@@ -293,7 +275,7 @@
 		u.seen[k] = fence
 	}
 	u.drop(from, to)
-	h := holding{from, to, fence, arrived.Add(hold), time.Since(arrived) > 300*time.Millisecond}
+	h := holding{from, to, fence, time.Now().Add(hold)}
 	u.held = append(u.held, h)
 	u.granted = append(u.granted, h)
 	if u.onGrant != nil {
@@ -311,10 +293,10 @@
 			continue
 		}
 		if h.from < from {
-			kept = append(kept, holding{h.from, from - 1, h.fence, h.until, h.late})
+			kept = append(kept, holding{h.from, from - 1, h.fence, h.until})
 		}
 		if h.to > to {
-			kept = append(kept, holding{to + 1, h.to, h.fence, h.until, h.late})
+			kept = append(kept, holding{to + 1, h.to, h.fence, h.until})
 		}
 	}
 	u.held = kept
@@ -394,7 +376,7 @@
 		return c.write(u.head("503 Service Unavailable", id, nil, hNotRun+": 1"))
 	}
 	u.running++
-	rn := &run{id: id, key: key, begun: time.Now(), connection: c}
+	rn := &run{id: id, key: key, begun: time.Now()}
 	u.runs = append(u.runs, rn)
 	u.mu.Unlock()
 	if !u.quiet {
