--- a/review/standin2/pipelined.go
+++ b/review/standin2/pipelined.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// garbleEvery is the number of answers of which a faulty upstream breaks off one: 3 in 100.
+// garbleEvery is the number of answers of which a faulty upstream breaks off one, a long one: 3 in 100.
 const garbleEvery = 33
 
 func init() { cases["pipelined-break"] = pipelinedBreak }
@@ -46,11 +46,15 @@
 			return []byte("answer to " + r.Header.Get(hID))
 		}
 		if n < 2 && trouble {
-			var answers atomic.Int64
+			var answers, due atomic.Int64
 			u.respond = func(c *upstreamConn, r *http.Request, answer []byte) bool {
-				if answers.Add(1)%garbleEvery != 0 {
+				if answers.Add(1)%garbleEvery == 0 {
+					due.Add(1)
+				}
+				if !strings.HasSuffix(r.URL.Path, "/long") || due.Load() == 0 {
 					return false
 				}
+				due.Add(-1)
 				garbled.Add(1)
 				rec.add("upstream %s breaks off its answer to %s", c.u.id, r.Header.Get(hID))
 				_, _ = c.Write(answer[:len(answer)/2])
