connector, exchanger, sender: a reset that a write has met is no end of an answer

Callers got a part of an answer as the whole one: a backend server answered a large upload at once with 200 and no length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the system call that meets it first. While a request is being written, that can be the write; the reads that follow end with EOF, which is the end of an answer without a length. exchanger wrote large bodies in a goroutine and did not look at its error where an answer was read; net/http, which sender and the store's client use, does not either.

Change: package connector wraps the connections over which answers are read. At the end of a connection a read looks at the error of the write beside it, and fails unless the other side has ended its sending. If a write is still under way, it is ended first, so that its error is known. EPIPE is the kernel's error for a reset after the other side had ended its sending: such an answer is whole. exchanger, sender, the clients of the store and turmericctl use it. transporter is not concerned: QUIC reports the end and the reset of a stream apart from its writes.

On the store's client the reset did not show on loopback, where the largest write fits the kernel's buffer.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -23,6 +23,7 @@
 
 	"github.com/turmericlift/turmericlift/clocker"
 	"github.com/turmericlift/turmericlift/conductor"
+	"github.com/turmericlift/turmericlift/connector"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/forwarder"
 	"github.com/turmericlift/turmericlift/identifier"
@@ -133,10 +134,9 @@
 	registry.MustRegister(client.NewGaugeFunc(client.GaugeOpts{
 		Name: "Turmericlift_LogLinesDropped", Help: "Log lines that did not fit the buffer.",
 	}, func() float64 { return float64(logWriter.Dropped()) }))
-	transport := &http.Transport{
-		DialContext: exchanger.NewDialer(storeTimeout, storeAckTimeout).DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
-		DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes,
-	}
+	transport := connector.NewTransport(&http.Transport{
+		MaxIdleConnsPerHost: maxIdleStoreConnections, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes,
+	}, exchanger.NewDialer(storeTimeout, storeAckTimeout).DialContext)
 	store := storer.NewKindClient(storer.New("http://"+s.StoreAddress, &http.Client{Transport: transport},
 		storer.Budget{CallsPerSecond: storeCallsPerSecond, Burst: storeCallsPerSecond}, storeTimeout), platform.ObjectDialect{})
 	return conductor.New(conductorSettings(s), conductor.Kinds{
--- /dev/null
+++ b/connector/connector.go
@@ -0,0 +1,69 @@
+// Package connector wraps the connections over which HTTP answers are read. Reads fail where net/http would take a broken
+// answer for a sound one.
+//
+// Start with Conn in connector.go; transport.go has the connections of http.Transport.
+package connector
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conn is a connection on which a request is sent while its answer may already arrive. One Read and one Write may run
+// concurrently.
+//
+// The kernel reports a reset once, to the read or the write that meets it first. If that is a write, reads end with io.EOF, and
+// an answer without a length looks complete. Here such a read fails.
+type Conn struct {
+	net.Conn // Writes and reads that bypass the methods of Conn, by ReadFrom or WriteTo, are not possible.
+
+	writing  sync.Mutex // Held during a write.
+	writeErr error      // The first error of a write.
+}
+
+// New returns a Conn that wraps c.
+func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements io.Reader. It returns io.EOF only if the other side has ended its sending.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if reset := c.resetByWrite(); reset != nil {
+			return n, fmt.Errorf("connection ended while a request was written: %w", reset)
+		}
+	}
+	return n, err
+}
+
+// resetByWrite returns the error of the write that was told of the end of the connection, or nil if the other side has ended
+// its sending. It ends a write that is under way: nothing can be answered on the connection any more.
+func (c *Conn) resetByWrite() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // An error means that the connection is closed, so no write is under way.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// The kernel reports EPIPE for a reset that came after the other side had ended its sending.
+	if errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.writeErr
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -12,12 +12,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/turmericlift/turmericlift/connector"
 )
 
 // Request is one request to a backend server.
@@ -108,7 +109,7 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	net.Conn
+	*connector.Conn
 	head     *headLimiter
 	reader   *bufio.Reader
 	dialedAt time.Time // When the dial began, before the connection was open.
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/turmericlift/turmericlift/connector"
 )
 
 const (
@@ -176,7 +178,7 @@
 
 // discard resets a connection that was taken out of the pool, so that bytes that are not yet delivered are dropped.
 func (p *Pool) discard(c *conn) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // An error needs no handling: the connection is closed next.
 	}
 	_ = c.Close()
@@ -265,7 +267,7 @@
 
 // alive reports whether an idle connection is open and has no received bytes, which would belong to no request.
 func alive(c *conn) bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return true
 	}
@@ -294,13 +296,14 @@
 	p.dials++
 	p.mu.Unlock()
 	dialedAt := p.clock()
-	c, err := NewDialer(dialTimeout, userTimeout).DialContext(ctx, "tcp", p.address)
+	dialed, err := NewDialer(dialTimeout, userTimeout).DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
+	c := connector.New(dialed)
 	head := &headLimiter{conn: c}
 	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), dialedAt: dialedAt, idleAt: dialedAt}, nil
 }
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/turmericlift/turmericlift/director"
 	"github.com/turmericlift/turmericlift/exchanger"
 	"github.com/turmericlift/turmericlift/forwarder"
 	"github.com/turmericlift/turmericlift/pipeliner"
@@ -60,18 +61,24 @@
 			}()
 		}
 	}()
+	return startForwarderTo(t, l.Addr().String(), pipelined, table(), 1<<20)
+}
+
+// startForwarderTo is startForwarder for a server that runs at an address, with a configuration and bytes of memory for bodies.
+func startForwarderTo(t testing.TB, server string, pipelined bool, table *director.Table, memory int64) string {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	k := &socketCore{core{table: table(), retries: true}, exchanger.NewPool(l.Addr().String(), 100, time.Now)}
-	f := forwarder.New(names, noNotice, k, rationer.New(1<<20), time.Now, logrus.NewEntry(log))
+	k := &socketCore{core{table: table, retries: true}, exchanger.NewPool(server, 100, time.Now)}
+	f := forwarder.New(names, noNotice, k, rationer.New(memory), time.Now, logrus.NewEntry(log))
 	if pipelined {
 		return startPipeliner(t, f)
 	}
-	server := httptest.NewUnstartedServer(f)
-	server.Config.ConnContext = forwarder.WithCallerConn
-	server.Start()
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	front := httptest.NewUnstartedServer(f)
+	front.Config.ConnContext = forwarder.WithCallerConn
+	front.Start()
+	t.Cleanup(front.Close)
+	return front.Listener.Addr().String()
 }
 
 // startPipeliner serves callers' connections by package pipeliner and returns the address.
--- a/operator/instances.go
+++ b/operator/instances.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return fmt.Errorf("instance %s: %w", instance, err)
 	}
-	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	resp, err := httpClient.Do(req.WithContext(ctx))
 	if err != nil {
 		return fmt.Errorf("instance %s: %w", instance, err)
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/connector"
 	"github.com/turmericlift/turmericlift/identifier"
 	"github.com/turmericlift/turmericlift/storer"
 )
@@ -171,12 +172,20 @@
 	return b.String()
 }
 
+// httpClient calls the platform and the operator interfaces of instances.
+var httpClient = newHTTPClient()
+
+func newHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	return &http.Client{Transport: connector.NewTransport(t, t.DialContext)}
+}
+
 // clientCallsPerSecond bounds the calls per second from one command to the platform.
 const clientCallsPerSecond = 20
 
 // store returns a client of the platform's object API.
 func (c *console) store() *storer.Client {
-	return storer.New(c.platform, http.DefaultClient, storer.Budget{CallsPerSecond: clientCallsPerSecond, Burst: clientCallsPerSecond}, 2*time.Second)
+	return storer.New(c.platform, httpClient, storer.Budget{CallsPerSecond: clientCallsPerSecond, Burst: clientCallsPerSecond}, 2*time.Second)
 }
 
 // print writes v as JSON or rows as a table, depending on --output. header holds the table's column names, separated by
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericlift/turmericlift/configurer"
+	"github.com/turmericlift/turmericlift/connector"
 	"github.com/turmericlift/turmericlift/controller"
 	"github.com/turmericlift/turmericlift/coordinator"
 	"github.com/turmericlift/turmericlift/dispatcher"
@@ -112,8 +113,8 @@
 
 // newStore returns a client of the platform that has its own budget of calls.
 func newStore(cfg Config) *storer.Client {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConnections}}
-	return storer.New(cfg.PlatformURL, client, cfg.PlatformBudget, cfg.PlatformTimeout)
+	transport := connector.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConnections}, (&net.Dialer{}).DialContext)
+	return storer.New(cfg.PlatformURL, &http.Client{Transport: transport}, cfg.PlatformBudget, cfg.PlatformTimeout)
 }
 
 // createComponents creates the components of the instance and connects them.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -26,6 +27,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/turmericlift/turmericlift/answerer"
+	"github.com/turmericlift/turmericlift/connector"
 	"github.com/turmericlift/turmericlift/granter"
 	"github.com/turmericlift/turmericlift/identifier"
 )
@@ -80,12 +82,18 @@
 // most 2 more for orders.
 func New(connections int) *Sender {
 	return &Sender{
-		requests: &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
-		again:    &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
-		orders:   &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
+		requests: newTransport(&http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute}),
+		again:    newTransport(&http.Transport{DisableKeepAlives: true}),
+		orders:   newTransport(&http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}),
 	}
 }
 
+// newTransport returns t with a dialer and bounded headers of answers.
+func newTransport(t *http.Transport) http.RoundTripper {
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return connector.NewTransport(t, (&net.Dialer{}).DialContext)
+}
+
 // SendOrder sends an order to the backend server at an address and returns the server's answer. After an
 // error the server may or may not have carried out the order.
 func (s *Sender) SendOrder(ctx context.Context, address string, o granter.Order) (granter.OrderAnswer, error) {
