connector, exchanger: an answer with a malformed field name is broken

Callers got as an answer what a backend server sent with a blank in the name of a field: with a body that was not the server's where the field was its length or its encoding, such as "Content-Length : 5", and with the line in the value of the field before where it began with a blank or a tab.

Cause: net/http accepts blanks in the names of an answer's fields and leaves such a field out of account, so that the body goes on to the end of the connection or includes the sizes of its chunks. It takes a line that begins with a blank or a tab for the continuation of the line before.

Other control bytes in names were errors before.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -218,9 +218,7 @@
 // Rest is the reader of what follows. isLast reports that no other answer can follow on the connection.
 func (c *conn) read(r *Request) (a Answer, isLast bool, err error) {
 	for range maxAnswersRead {
-		c.head.begin()
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.head.end()
+		resp, err := c.readHead(r.Method)
 		if err != nil {
 			return Answer{}, true, err
 		}
@@ -255,6 +253,20 @@
 	return Answer{}, true, errTooManyForeign
 }
 
+// readHead reads the head of the next answer. The answer's body reads from the connection.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.BeginAnswer(buffered); err != nil {
+		return nil, err
+	}
+	c.head.begin()
+	defer c.head.end()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // skip reads the body of an answer to another request.
 func skip(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -83,26 +83,29 @@
 // connection must not be used again if its next bytes may belong to another request.
 func TestAnswers(t *testing.T) {
 	t.Parallel()
+	const malformed = "HTTP/1.1 200 OK\r\nId: a\r\nOdd Name: x\r\nContent-Length: 5\r\n\r\nhello"
 	cases := map[string]struct {
 		script string
 		body   string // The body that is returned; empty if a BrokenError is.
 		reused bool
 	}{
-		"Whole":           {answer("a", "hello"), "hello", true},
-		"ForeignFirst":    {answer("z", "other") + answer("a", "hello"), "hello", true},
-		"ExtraAfter":      {answer("a", "hello") + answer("a", "again"), "hello", false},
-		"GarbageAfter":    {answer("a", "hello") + "%%%", "hello", false},
-		"Garbage":         {"no answer at all\r\n\r\n|CLOSE", "", false},
-		"Cut":             {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhel|CLOSE", "", false},
-		"Reset":           {"|RESET", "", false},
-		"Closed":          {"|CLOSE", "", false},
-		"NoLength":        {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|CLOSE", "hello", false},
-		"NoLengthReset":   {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|RESET", "", false},
-		"ForeignNoLength": {"HTTP/1.1 200 OK\r\nId: z\r\n\r\nhello|CLOSE", "", false},
-		"ConnectionClose": {"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", "hello", false},
-		"Continue":        {"HTTP/1.1 100 Continue\r\n\r\n" + answer("a", "hello"), "hello", true},
-		"Chunked":         {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", true},
-		"ChunkedCut":      {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n|CLOSE", "", false},
+		"Whole":                {answer("a", "hello"), "hello", true},
+		"ForeignFirst":         {answer("z", "other") + answer("a", "hello"), "hello", true},
+		"ExtraAfter":           {answer("a", "hello") + answer("a", "again"), "hello", false},
+		"GarbageAfter":         {answer("a", "hello") + "%%%", "hello", false},
+		"Garbage":              {"no answer at all\r\n\r\n|CLOSE", "", false},
+		"Cut":                  {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhel|CLOSE", "", false},
+		"Reset":                {"|RESET", "", false},
+		"Closed":               {"|CLOSE", "", false},
+		"NoLength":             {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|CLOSE", "hello", false},
+		"NoLengthReset":        {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello|RESET", "", false},
+		"ForeignThenMalformed": {answer("z", "other") + malformed, "", false},
+		"MalformedForeign":     {strings.Replace(malformed, "Id: a", "Id: z", 1) + answer("a", "hello"), "", false},
+		"ForeignNoLength":      {"HTTP/1.1 200 OK\r\nId: z\r\n\r\nhello|CLOSE", "", false},
+		"ConnectionClose":      {"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", "hello", false},
+		"Continue":             {"HTTP/1.1 100 Continue\r\n\r\n" + answer("a", "hello"), "hello", true},
+		"Chunked":              {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", true},
+		"ChunkedCut":           {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n|CLOSE", "", false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
