--- a/connector/answers_test.go
+++ b/connector/answers_test.go
@@ -97,22 +97,18 @@
 
 // play plays a script and checks what a reader takes its answer for.
 func play(t *testing.T, s imitator.AnswerScript, read readFunc, want imitator.AnswerVerdict) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	address, ended, err := imitator.ServeAnswerScript(ctx, s)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		imitator.ServeAnswerScript(ctx, l, s)
-	}()
 	defer func() {
 		stop()
 		<-ended
 	}()
 	for range attempts {
-		body, err := read(ctx, l.Addr().String(), s)
+		body, err := read(ctx, address, s)
 		if ctx.Err() != nil {
 			t.Fatalf("the request ended only at its deadline: %v", err)
 		}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -23,7 +23,7 @@
 //
 // A read also fails at a malformed field name in the head of an answer that BeginAnswer has announced.
 type Conn struct {
-	net.Conn // Writes and reads that bypass the methods of Conn, by ReadFrom or WriteTo, are not possible.
+	net.Conn // As an interface it has no ReadFrom and WriteTo, which would bypass Write and Read.
 
 	writing  sync.Mutex // Held during a write.
 	writeErr error      // The first error of a write.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -255,10 +255,7 @@
 
 // readHead reads the head of the next answer. The answer's body reads from the connection.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	buffered, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return nil, err
-	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // It cannot fail for bytes that are buffered.
 	if err := c.BeginAnswer(buffered); err != nil {
 		return nil, err
 	}
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -41,21 +40,17 @@
 		for _, s := range scripts {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".txt")+"/"+s.Name, func(t *testing.T) {
 				t.Parallel()
-				l, err := net.Listen("tcp", "127.0.0.1:0")
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				server, ended, err := imitator.ServeAnswerScript(ctx, s)
 				if err != nil {
 					t.Fatal(err)
 				}
-				ctx, stop := context.WithCancel(context.Background())
-				ended := make(chan struct{})
-				go func() {
-					defer close(ended)
-					imitator.ServeAnswerScript(ctx, l, s)
-				}()
 				defer func() {
 					stop()
 					<-ended
 				}()
-				checkCaller(t, startForwarderTo(t, l.Addr().String(), pipelined, uploadTable(), 16<<20), s)
+				checkCaller(t, startForwarderTo(t, server, pipelined, uploadTable(), 16<<20), s)
 			})
 		}
 	}
--- a/imitator/script.go
+++ b/imitator/script.go
@@ -219,8 +219,23 @@
 	}
 }
 
-// ServeAnswerScript plays a script on each connection of a listener, until ctx ends.
-func ServeAnswerScript(ctx context.Context, l net.Listener, s AnswerScript) {
+// ServeAnswerScript plays a script on each connection to the address that it returns, until ctx ends. It then closes the
+// channel.
+func ServeAnswerScript(ctx context.Context, s AnswerScript) (address string, ended <-chan struct{}, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		serveAnswerScript(ctx, l, s)
+	}()
+	return l.Addr().String(), done, nil
+}
+
+// serveAnswerScript plays a script on each connection of a listener, until ctx ends.
+func serveAnswerScript(ctx context.Context, l net.Listener, s AnswerScript) {
 	connections := supervisor.New(ctx)
 	defer connections.Close()
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
